--- /dev/null
+++ b/core/answer/answer.go
@@ -0,0 +1,14 @@
+package answer
+
+// Answer is a whole answer.
+type Answer struct {
+	Status int
+	Fields []Field
+	Body   []byte
+}
+
+// Field is one header field of an answer.
+type Field struct {
+	Name  string
+	Value string
+}
--- /dev/null
+++ b/core/answer/doc.go
@@ -0,0 +1,2 @@
+// Package answer holds a whole answer of a target, so that it can be given again.
+package answer
--- /dev/null
+++ b/core/balancer/balancer.go
@@ -0,0 +1,140 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"poplarworks/core/budget"
+	"poplarworks/core/fairqueue"
+	"poplarworks/core/invariant"
+	"poplarworks/core/picking"
+	"poplarworks/core/quantile"
+	"poplarworks/core/request"
+	"poplarworks/core/service"
+)
+
+const (
+	queueTarget    = 15 * time.Millisecond
+	queueInterval  = 100 * time.Millisecond
+	maxQueued      = 8192
+	retryInitial   = 3.0
+	hedgeInitial   = 1.0
+	budgetCap      = 100.0
+	rateMemory     = 500 * time.Millisecond
+	defaultLatency = 5 * time.Millisecond
+)
+
+// Picker chooses among the targets.
+type Picker interface {
+	Pick(view picking.View) (int, bool)
+}
+
+// Balancer holds the state of one service; its exported fields are set before use, and it is not safe for concurrent
+// use.
+type Balancer struct {
+	Picker Picker
+	Random *rand.Rand
+	Check  *invariant.Checker
+
+	service  service.Service
+	targets  []*target
+	byName   map[string]int
+	rules    map[string]*ruleState
+	queues   [2]fairqueue.Queue // short, long
+	waiting  map[uint64]request.Request
+	inFlight map[uint64]*attempt
+	peers    map[string]peerLoad
+	finished rate
+	census   census
+	scratch  view // reused, so that a pick allocates nothing
+	started  time.Time
+	nextID   uint64
+}
+
+// ruleState is what is learnt about one rule.
+type ruleState struct {
+	typical quantile.Tracker
+	slow    quantile.Tracker
+	retries budget.Share
+	hedges  budget.Share
+}
+
+// attempt is one request in flight at one target.
+type attempt struct {
+	request  request.Request
+	target   *target
+	begun    time.Time
+	expected time.Duration
+	long     bool
+	load     float64 // estimated requests at the target when this one was sent
+}
+
+// Configure puts a service record in force; targets that stay keep what was learnt of them.
+func (b *Balancer) Configure(now time.Time, s service.Service) {
+	if b.started.IsZero() {
+		b.started = now
+		b.rules = map[string]*ruleState{}
+		b.waiting = map[uint64]request.Request{}
+		b.inFlight = map[uint64]*attempt{}
+		b.peers = map[string]peerLoad{}
+		for i := range b.queues {
+			b.queues[i] = fairqueue.Queue{Target: queueTarget, Interval: queueInterval}
+		}
+	}
+	first := b.byName == nil
+	b.service = s
+	known := b.targets
+	b.targets, b.byName = nil, map[string]int{}
+	for _, record := range s.Targets {
+		b.byName[record.Name] = len(b.targets)
+		b.targets = append(b.targets, b.adopt(now, known, record, first))
+	}
+	for _, t := range known {
+		t.removed = !slices.Contains(b.targets, t)
+		if t.removed && t.load.Own() > 0 {
+			b.targets = append(b.targets, t)
+		}
+	}
+	b.count()
+}
+
+// adopt returns the target as it was known, or a new one.
+func (b *Balancer) adopt(now time.Time, known []*target, record service.Target, first bool) *target {
+	for _, t := range known {
+		if t.record.Name == record.Name && t.record.Address == record.Address && !t.removed {
+			t.record = record
+			t.configure(b.service)
+			return t
+		}
+	}
+	t := newTarget(now, record, b.service)
+	if first {
+		// At the start of an entry every target is new to it, and none of them is cold.
+		t.warm()
+	}
+	return t
+}
+
+func (b *Balancer) rule(name string, retryRatio, hedgeRatio float64) *ruleState {
+	state, ok := b.rules[name]
+	if !ok {
+		state = &ruleState{
+			typical: quantile.Tracker{Quantile: 0.5},
+			slow:    quantile.Tracker{Quantile: 0.95},
+			retries: budget.Share{Cap: budgetCap, Initial: retryInitial},
+			hedges:  budget.Share{Cap: budgetCap, Initial: hedgeInitial},
+		}
+		b.rules[name] = state
+	}
+	state.retries.Ratio = retryRatio
+	state.hedges.Ratio = hedgeRatio
+	return state
+}
+
+func (s *ruleState) expected() time.Duration {
+	if s.typical.Count() == 0 {
+		return defaultLatency
+	}
+	return s.typical.Value()
+}
--- /dev/null
+++ b/core/balancer/digest.go
@@ -0,0 +1,52 @@
+package balancer
+
+import (
+	"time"
+
+	"poplarworks/core/digest"
+)
+
+const digestLifetime = 5 * time.Second
+
+// peerLoad is what a peer said of its requests in flight.
+type peerLoad struct {
+	at      time.Time
+	targets map[string]digest.Load
+}
+
+// Digest returns this entry's requests in flight by target, without the targets that have none.
+func (b *Balancer) Digest() map[string]digest.Load {
+	loads := map[string]digest.Load{}
+	for _, t := range b.targets {
+		if own := t.load.Own(); own > 0 {
+			loads[t.record.Name] = digest.Load{InFlight: own, Long: t.long}
+		}
+	}
+	return loads
+}
+
+// PeerDigest takes a peer's digest, which replaces its former one.
+func (b *Balancer) PeerDigest(now time.Time, peer string, loads map[string]digest.Load) {
+	b.peers[peer] = peerLoad{at: now, targets: loads}
+	b.addPeers(now)
+}
+
+func (b *Balancer) addPeers(now time.Time) {
+	long, inFlight := map[string]int{}, map[string]int{}
+	for peer, p := range b.peers {
+		if now.Sub(p.at) > digestLifetime {
+			delete(b.peers, peer)
+			continue
+		}
+		for name, l := range p.targets {
+			long[name] += l.Long
+			inFlight[name] += l.InFlight
+		}
+	}
+	for _, t := range b.targets {
+		t.peersLong = long[t.record.Name]
+		if b.service.LoadHeader == "" {
+			t.load.Report(now, t.load.Own()+inFlight[t.record.Name])
+		}
+	}
+}
--- /dev/null
+++ b/core/balancer/leaving.go
@@ -0,0 +1,104 @@
+package balancer
+
+import (
+	"net/netip"
+	"time"
+
+	"poplarworks/core/lifecycle"
+	"poplarworks/core/stop"
+)
+
+const (
+	checkInterval     = 2 * time.Second
+	probeLeavingAfter = 10 * time.Second // a sign that comes and goes must not bring work back at once
+)
+
+// leave ends new work at a target; it is sticky, since a sign that comes and goes must not bring work back.
+func (b *Balancer) leave(now time.Time, t *target) {
+	if !t.machine.Fire(lifecycle.Leave) {
+		return
+	}
+	t.leftAt, t.checkedAt = now, now
+	t.unreachable = false
+	b.count()
+}
+
+// Leave ends new work at the target that a peer or the VM list says is leaving; it reports whether this was news.
+func (b *Balancer) Leave(now time.Time, name string) bool {
+	i, ok := b.byName[name]
+	if !ok || b.targets[i].machine.State() == lifecycle.Leaving {
+		return false
+	}
+	b.leave(now, b.targets[i])
+	return true
+}
+
+// Left returns the names of the targets that are leaving by their own sign or a peer's notice.
+func (b *Balancer) Left() []string {
+	var names []string
+	for _, t := range b.targets {
+		if !t.removed && t.machine.State() == lifecycle.Leaving {
+			names = append(names, t.record.Name)
+		}
+	}
+	return names
+}
+
+// Stop puts the planned stops in force, and ends those that were withdrawn.
+func (b *Balancer) Stop(now time.Time, stops []stop.Stop) {
+	stopped := map[string]bool{}
+	for _, s := range stops {
+		if s.Service == b.service.Name && s.InForce(now) {
+			stopped[s.Target] = true
+		}
+	}
+	for _, t := range b.targets {
+		t.stopped = stopped[t.record.Name]
+	}
+	b.count()
+}
+
+// CheckDue names a leaving target that is due for a look: whether it can be reached or, within the probe budget, whether
+// it still says that it is leaving.
+func (b *Balancer) CheckDue(now time.Time) (name string, address netip.AddrPort, probe, ok bool) {
+	for _, t := range b.targets {
+		if t.removed || t.machine.State() != lifecycle.Leaving || now.Sub(t.checkedAt) < checkInterval {
+			continue
+		}
+		t.checkedAt = now
+		probe = now.Sub(t.leftAt) >= probeLeavingAfter && t.probes.Take(now)
+		return t.record.Name, t.record.Address, probe, true
+	}
+	return "", netip.AddrPort{}, false, false
+}
+
+// Checked takes the result of a look. A target comes back once it has been unreachable, since what answers then is
+// another incarnation, or when a probe says that it is no longer leaving.
+func (b *Balancer) Checked(now time.Time, name string, reachable, staying bool) {
+	i, ok := b.byName[name]
+	if !ok {
+		return
+	}
+	t := b.targets[i]
+	if !reachable {
+		t.unreachable = true
+		return
+	}
+	if (t.unreachable || staying) && t.machine.Fire(lifecycle.Return) {
+		t.since = now
+		t.backoffTill = time.Time{}
+		b.count()
+	}
+}
+
+// InFlight returns this entry's requests in flight at the target, and whether the target takes new work from it.
+func (b *Balancer) InFlight(now time.Time, name string) (count int, open bool) {
+	for _, t := range b.targets {
+		if t.record.Name != name {
+			continue
+		}
+		count += t.load.Own()
+		open = open || t.open(now, b.census.panicking())
+	}
+	return count, open
+}
--- /dev/null
+++ b/core/balancer/probes.go
@@ -0,0 +1,43 @@
+package balancer
+
+import (
+	"net/netip"
+	"time"
+
+	"poplarworks/core/lifecycle"
+)
+
+const probeUsefulAge = 30 * time.Millisecond
+
+// ProbeDue takes one probe out of the budget and names its target, if any target's state is older than is useful.
+func (b *Balancer) ProbeDue(now time.Time) (name string, address netip.AddrPort, ok bool) {
+	if len(b.targets) == 0 {
+		return "", netip.AddrPort{}, false
+	}
+	start := b.Random.IntN(len(b.targets))
+	for step := range b.targets {
+		t := b.targets[(start+step)%len(b.targets)]
+		if t.removed || t.stopped || t.machine.State() == lifecycle.Leaving || t.load.Age(now) < probeUsefulAge {
+			continue
+		}
+		if now.Before(t.backoffTill) || !t.probes.Take(now) {
+			continue
+		}
+		spent := t.probes.Spent(now)
+		b.Check.Hold(spent <= t.probes.PerWindow, "target %s had %d probes within a window", t.record.Name, spent)
+		return t.record.Name, t.record.Address, true
+	}
+	return "", netip.AddrPort{}, false
+}
+
+// Probed takes the answer to a probe; a probe that failed says nothing of the load.
+func (b *Balancer) Probed(now time.Time, name string, inFlight int, draining bool) {
+	i, ok := b.byName[name]
+	if !ok {
+		return
+	}
+	b.targets[i].load.Report(now, inFlight)
+	if draining {
+		b.leave(now, b.targets[i])
+	}
+}
--- /dev/null
+++ b/core/balancer/submit.go
@@ -0,0 +1,196 @@
+package balancer
+
+import (
+	"time"
+
+	"poplarworks/core/code"
+	"poplarworks/core/decision"
+	"poplarworks/core/fairqueue"
+	"poplarworks/core/request"
+	"poplarworks/core/rule"
+)
+
+const (
+	longFactor    = 8 // a rule whose requests take this many times longer than the shortest one's is long
+	learntSamples = 50
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// Submit asks for a target: the answer is to send, to wait for a later decision from Poll, or to refuse.
+func (b *Balancer) Submit(now time.Time, r request.Request) decision.Decision {
+	b.nextID++
+	r.ID = b.nextID
+	state := b.rule(r.Rule.Name, r.Rule.RetryRatio, r.Rule.HedgeRatio)
+	state.retries.First()
+	state.hedges.First()
+	return b.decide(now, r, state)
+}
+
+func (b *Balancer) decide(now time.Time, r request.Request, state *ruleState) decision.Decision {
+	need := state.expected()
+	if now.Add(need).After(r.Deadline) {
+		return b.refuse(now, r, code.DeadlineTooShort)
+	}
+	long := b.isLong(r.Rule, state)
+	queue := &b.queues[queueIndex(long)]
+	if queue.Len() == 0 || queue.Ahead(int(r.Rule.Priority)) == 0 {
+		if d, ok := b.send(now, r, long, state); ok {
+			return d
+		}
+	}
+	if !b.anyOpen(now, r) {
+		return b.refuse(now, r, code.NoTarget)
+	}
+	if b.waitAhead(now, queue, r.Rule.Priority)+need > r.Deadline.Sub(now) || queue.Len() >= maxQueued {
+		return b.refuse(now, r, code.Overloaded)
+	}
+	queue.Push(fairqueue.Item{
+		ID:       r.ID,
+		Flow:     r.Flow(),
+		Priority: int(r.Rule.Priority),
+		Arrived:  now,
+		Deadline: r.Deadline,
+		Need:     need,
+	})
+	b.waiting[r.ID] = r
+	return decision.Decision{ID: r.ID, Kind: decision.Wait}
+}
+
+func queueIndex(long bool) int {
+	if long {
+		return 1
+	}
+	return 0
+}
+
+// isLong follows the rule, and what was learnt of its requests.
+func (b *Balancer) isLong(r *rule.Rule, state *ruleState) bool {
+	if r.Class == rule.Long {
+		return true
+	}
+	if state.typical.Count() < learntSamples {
+		return false
+	}
+	for _, other := range b.rules {
+		if other.typical.Count() >= learntSamples && state.typical.Value() > longFactor*other.typical.Value() {
+			return true
+		}
+	}
+	return false
+}
+
+// waitAhead estimates how long a new request would wait, from the rate at which requests end.
+func (b *Balancer) waitAhead(now time.Time, queue *fairqueue.Queue, priority rule.Priority) time.Duration {
+	ahead := queue.Ahead(int(priority))
+	perSecond := b.finished.get(now)
+	if ahead == 0 || perSecond < 1 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+}
+
+func (b *Balancer) refuse(now time.Time, r request.Request, c code.Code) decision.Decision {
+	return decision.Decision{ID: r.ID, Kind: decision.Refuse, Code: c, RetryAfter: b.retryAfter(now)}
+}
+
+// retryAfter grows with the queue and is spread at random, so that refused callers do not come back together.
+func (b *Balancer) retryAfter(now time.Time) time.Duration {
+	wait := minRetryAfter
+	if perSecond := b.finished.get(now); perSecond >= 1 {
+		queued := b.queues[0].Len() + b.queues[1].Len()
+		wait += time.Duration(float64(queued) / perSecond * float64(time.Second))
+	}
+	spread := 0.5 + b.Random.Float64()
+	return min(maxRetryAfter, time.Duration(float64(wait)*spread))
+}
+
+func (b *Balancer) anyOpen(now time.Time, r request.Request) bool {
+	v := b.view(now, r, false)
+	for i := range b.targets {
+		if v.Open(i) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balancer) view(now time.Time, r request.Request, long bool) *view {
+	b.scratch = view{b: b, now: now, long: long, panic: b.census.panicking(), tried: r.Tried}
+	return &b.scratch
+}
+
+// send picks a target and counts the request as in flight there.
+func (b *Balancer) send(now time.Time, r request.Request, long bool, state *ruleState) (decision.Decision, bool) {
+	if len(b.targets) == 0 {
+		return decision.Decision{}, false
+	}
+	i, ok := b.Picker.Pick(b.view(now, r, long))
+	if !ok {
+		return decision.Decision{}, false
+	}
+	t := b.targets[i]
+	b.Check.Hold(!t.stopped && !t.removed, "picked target %s, which takes no new work", t.record.Name)
+	a := &attempt{request: r, target: t, begun: now, expected: state.expected(), long: long, load: t.load.At(now)}
+	b.inFlight[r.ID] = a
+	t.load.Sent()
+	t.sent++
+	t.lastSent = now
+	if long {
+		t.long++
+	} else {
+		t.score.Begin(r.ID, now, a.expected)
+	}
+	return decision.Decision{ID: r.ID, Kind: decision.Send, Name: t.record.Name, Address: t.record.Address}, true
+}
+
+// Poll sends or refuses requests that wait; call it after Finish, and every millisecond while any wait.
+func (b *Balancer) Poll(now time.Time) []decision.Decision {
+	var decisions []decision.Decision
+	for i := range b.queues {
+		decisions = b.expire(now, &b.queues[i], decisions)
+		decisions = b.drain(now, &b.queues[i], i == 1, decisions)
+	}
+	return decisions
+}
+
+func (b *Balancer) expire(now time.Time, queue *fairqueue.Queue, decisions []decision.Decision) []decision.Decision {
+	if queue.Len() == 0 {
+		return decisions
+	}
+	for _, item := range queue.Expire(now) {
+		r := b.waiting[item.ID]
+		delete(b.waiting, item.ID)
+		decisions = append(decisions, b.refuse(now, r, code.DeadlinePassed))
+	}
+	return decisions
+}
+
+func (b *Balancer) drain(now time.Time, queue *fairqueue.Queue, long bool, decisions []decision.Decision) []decision.Decision {
+	for queue.Len() > 0 {
+		item, _ := queue.Peek()
+		r := b.waiting[item.ID]
+		d, ok := b.send(now, r, long, b.rules[r.Rule.Name])
+		if !ok {
+			break
+		}
+		queue.Remove(item.ID)
+		delete(b.waiting, item.ID)
+		decisions = append(decisions, d)
+	}
+	return decisions
+}
+
+// Waiting returns the number of requests that wait.
+func (b *Balancer) Waiting() int {
+	return len(b.waiting)
+}
+
+// Withdraw forgets a request that waits, since its caller has left; it reports whether it was there.
+func (b *Balancer) Withdraw(id uint64) bool {
+	if _, ok := b.waiting[id]; !ok {
+		return false
+	}
+	delete(b.waiting, id)
+	return b.queues[0].Remove(id) || b.queues[1].Remove(id)
+}
--- /dev/null
+++ b/core/balancer/target.go
@@ -0,0 +1,138 @@
+package balancer
+
+import (
+	"math"
+	"time"
+
+	"poplarworks/core/lifecycle"
+	"poplarworks/core/limiter"
+	"poplarworks/core/load"
+	"poplarworks/core/probebudget"
+	"poplarworks/core/service"
+	"poplarworks/core/slowness"
+)
+
+const (
+	staleness       = 60 * time.Millisecond
+	slownessMemory  = 400 * time.Millisecond
+	slownessWeight  = 0.15
+	queueSlack      = 1.0 // requests that may wait at a target, over its slots
+	longShare       = 0.5 // share of a target's slots that long requests may hold
+	firstBackoff    = 100 * time.Millisecond
+	longestBackoff  = 2 * time.Second
+	firstEjection   = time.Second
+	longestEjection = 30 * time.Second
+	rampFloor       = 0.1
+	trialsToRecover = 3
+)
+
+// target is what one entry knows of one target.
+type target struct {
+	record  service.Target
+	slots   float64
+	share   int // connections that this entry may use
+	ramp    time.Duration
+	removed bool // no longer in the record
+	stopped bool // a planned stop is in force
+
+	machine   lifecycle.Machine
+	load      load.Estimate
+	score     slowness.Score
+	limit     limiter.Limit
+	probes    probebudget.Budget
+	peersLong int
+	long      int // own long requests in flight
+
+	since       time.Time // start of the cold state
+	backoff     time.Duration
+	backoffTill time.Time
+	ejection    time.Duration
+	ejectedTill time.Time
+	trials      int
+	leftAt      time.Time
+	checkedAt   time.Time
+	unreachable bool // has refused a connection since it began to leave
+	lastSent    time.Time
+	sent        uint64
+}
+
+func newTarget(now time.Time, record service.Target, s service.Service) *target {
+	t := &target{
+		record: record,
+		load:   load.Estimate{Staleness: staleness},
+		score:  slowness.Score{Memory: slownessMemory, Weight: slownessWeight},
+		probes: probebudget.Budget{Started: now},
+		since:  now,
+	}
+	t.configure(s)
+	return t
+}
+
+func (t *target) configure(s service.Service) {
+	t.slots = float64(s.Slots)
+	t.share = s.ConnectionsPerEntry()
+	t.ramp = s.Ramp
+	t.probes.PerWindow = s.ProbesPerEntry()
+	t.limit.Min = 1
+	t.limit.Max = math.Min(2*t.slots, float64(t.share))
+	t.limit.Initial = t.slots
+}
+
+func (t *target) warm() {
+	t.machine.Fire(lifecycle.Warm)
+}
+
+// open reports whether the target takes new work at all; while most targets are ejected, ejection is not heeded, so
+// that a fault common to all cannot take every target away.
+func (t *target) open(now time.Time, panicking bool) bool {
+	if t.removed || t.stopped || now.Before(t.backoffTill) {
+		return false
+	}
+	switch t.machine.State() {
+	case lifecycle.Leaving:
+		return false
+	case lifecycle.Ejected:
+		return panicking
+	case lifecycle.Trial:
+		return panicking || t.load.Own() == 0
+	case lifecycle.Cold, lifecycle.Active:
+		return true
+	}
+	return true
+}
+
+// rampFraction is the share of its slots that a cold target may be given.
+func (t *target) rampFraction(now time.Time) float64 {
+	if t.machine.State() != lifecycle.Cold || t.ramp <= 0 {
+		return 1
+	}
+	fraction := float64(now.Sub(t.since)) / float64(t.ramp)
+	return math.Min(1, math.Max(rampFloor, fraction))
+}
+
+func (t *target) fits(now time.Time, long bool) bool {
+	own := t.load.Own()
+	if float64(own)+1 > t.limit.Current() || own >= t.share {
+		return false
+	}
+	if long && !t.fitsLong() {
+		return false
+	}
+	room := (t.slots + queueSlack) * t.rampFraction(now)
+	return own == 0 && t.load.At(now) < t.slots || t.load.At(now)+1 <= math.Max(1, room)
+}
+
+func (t *target) fitsLong() bool {
+	return t.long+t.peersLong < max(1, int(t.slots*longShare))
+}
+
+// cost is the expected time to an answer as a multiple of that of an idle, healthy target.
+func (t *target) cost(now time.Time) float64 {
+	held := t.load.At(now)
+	queued := math.Max(0, held+1-t.slots)
+	busy := 1 + queued/t.slots + idleBias*held/t.slots
+	return busy * t.score.Ratio(now) / t.rampFraction(now)
+}
+
+// idleBias makes an emptier target slightly cheaper than one whose slots are nearly all taken.
+const idleBias = 0.25
--- /dev/null
+++ b/core/breaker/doc.go
@@ -0,0 +1,2 @@
+// Package breaker answers at once while a service is down, and looks now and then whether it is back.
+package breaker
--- /dev/null
+++ b/core/bucket/doc.go
@@ -0,0 +1,2 @@
+// Package bucket limits events to a rate.
+package bucket
--- /dev/null
+++ b/core/catalog/doc.go
@@ -0,0 +1,2 @@
+// Package catalog holds the records in force and lets only higher revisions replace them.
+package catalog
--- /dev/null
+++ b/core/code/doc.go
@@ -0,0 +1,2 @@
+// Package code numbers the results that the system gives to callers and operators.
+package code
--- /dev/null
+++ b/core/decision/decision.go
@@ -0,0 +1,28 @@
+package decision
+
+import (
+	"net/netip"
+	"time"
+
+	"poplarworks/core/code"
+)
+
+// Kind is what becomes of a request.
+type Kind string
+
+// The kinds of decisions.
+const (
+	Send   Kind = "send"
+	Wait   Kind = "wait"
+	Refuse Kind = "refuse"
+)
+
+// Decision is the answer to one request for a target.
+type Decision struct {
+	ID         uint64
+	Kind       Kind
+	Name       string // target, for Send
+	Address    netip.AddrPort
+	Code       code.Code     // for Refuse
+	RetryAfter time.Duration // for Refuse
+}
--- /dev/null
+++ b/core/decision/doc.go
@@ -0,0 +1,2 @@
+// Package decision says what becomes of a request.
+package decision
--- /dev/null
+++ b/core/digest/doc.go
@@ -0,0 +1,2 @@
+// Package digest is what entries tell each other of their requests in flight.
+package digest
--- /dev/null
+++ b/core/lifecycle/doc.go
@@ -0,0 +1,2 @@
+// Package lifecycle is the state machine of a target as one entry sees it.
+package lifecycle
--- /dev/null
+++ b/core/oracle/doc.go
@@ -0,0 +1,2 @@
+// Package oracle picks by the true load of the targets, which only a measurement can know.
+package oracle
--- /dev/null
+++ b/core/outcome/doc.go
@@ -0,0 +1,2 @@
+// Package outcome says how an attempt at a target ended.
+package outcome
--- /dev/null
+++ b/core/picking/doc.go
@@ -0,0 +1,2 @@
+// Package picking declares what a picker sees of the targets.
+package picking
--- /dev/null
+++ b/core/powerofd/doc.go
@@ -0,0 +1,2 @@
+// Package powerofd picks the cheapest of a few targets drawn at random.
+package powerofd
--- /dev/null
+++ b/core/quantile/doc.go
@@ -0,0 +1,2 @@
+// Package quantile follows a quantile of durations in constant memory.
+package quantile
--- /dev/null
+++ b/core/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine refuses requests that crash the targets that run them.
+package quarantine
--- /dev/null
+++ b/core/randompick/doc.go
@@ -0,0 +1,2 @@
+// Package randompick picks a target at random; it is a baseline for measurements.
+package randompick
--- /dev/null
+++ b/core/schema2/decoder.go
@@ -0,0 +1,116 @@
+package schema2
+
+import (
+	"time"
+
+	"poplarworks/core/jsonc"
+	"poplarworks/core/limits"
+	"poplarworks/core/rule"
+	"poplarworks/core/service"
+	"poplarworks/core/stop"
+)
+
+const (
+	maxTargets   = 4096
+	maxCount     = 1_000_000
+	maxBodyBytes = 1 << 40
+	maxKeptBytes = 64 << 20
+	longest      = 24 * time.Hour
+	retention    = 365 * 24 * time.Hour
+)
+
+// Decoder reads the fields of schema 2.
+type Decoder struct{}
+
+// Service reads a service record; problems are left in the object.
+func (Decoder) Service(obj *jsonc.Object) *service.Service {
+	capacity, probe := obj.Object("capacity"), obj.Object("probe")
+	s := &service.Service{
+		Name:        obj.Required("name"),
+		Targets:     targets(obj),
+		Slots:       capacity.Int("slots", 4, 1, maxCount),
+		Connections: capacity.Int("connections", 200, 1, maxCount),
+		MaxEntries:  capacity.Int("max-entries", 18, 1, 10_000),
+		ConnectCost: capacity.Duration("connect-cost", time.Millisecond, 0, time.Second),
+		ProbePath:   probe.String("path", ""),
+		ProbeCost:   probe.Duration("cost", time.Millisecond, time.Microsecond, time.Second),
+		ProbeBudget: probe.Duration("budget", 0, 0, time.Minute),
+		LoadHeader:  obj.String("load-header", ""),
+		DrainHeader: obj.String("drain-header", ""),
+		Ramp:        obj.Duration("ramp", 5*time.Second, 0, time.Hour),
+	}
+	capacity.Close()
+	probe.Close()
+	return s
+}
+
+func targets(obj *jsonc.Object) []service.Target {
+	var list []service.Target
+	for _, o := range obj.Objects("targets") {
+		list = append(list, service.Target{
+			Name:       o.Required("name"),
+			Address:    o.AddrPort("address"),
+			DataCentre: o.String("data-centre", ""),
+		})
+		o.Close()
+	}
+	if len(list) > maxTargets {
+		obj.Problem("targets", "expected at most 4096 targets")
+	}
+	return list
+}
+
+// Rule reads a rule record; problems are left in the object.
+func (Decoder) Rule(obj *jsonc.Object) *rule.Rule {
+	match, key := obj.Object("match"), obj.Object("idempotency-key")
+	retry, hedge, bounds := obj.Object("retry"), obj.Object("hedge"), obj.Object("limits")
+	r := &rule.Rule{
+		Name:           obj.Required("name"),
+		Service:        obj.Required("service"),
+		Host:           match.String("host", ""),
+		Methods:        match.Strings("methods"),
+		PathPrefix:     match.String("path-prefix", "/"),
+		Idempotent:     obj.Bool("idempotent", false),
+		Class:          rule.Class(obj.OneOf("class", string(rule.Short), string(rule.Long))),
+		Priority:       rule.Priority(obj.Int("priority", 0, 0, 9)),
+		Deadline:       obj.Duration("deadline", 10*time.Second, time.Millisecond, longest),
+		KeyHeader:      key.String("header", "Idempotency-Key"),
+		KeyRequired:    key.Bool("required", true),
+		Retention:      key.Duration("retention", 7*24*time.Hour, time.Minute, retention),
+		NotRunStatuses: obj.Ints("not-run-statuses", 400, 599),
+		RetryRatio:     retry.Float("ratio", 0.1, 0, 1),
+		MaxAttempts:    retry.Int("max-attempts", 3, 1, 10),
+		HedgeRatio:     hedge.Float("ratio", 0, 0, 0.5),
+		MaxBody:        int64(bounds.Int("body-bytes", 1<<20, 0, maxBodyBytes)),
+		MaxAnswerKept:  bounds.Int("answer-bytes", 256<<10, 0, maxKeptBytes),
+	}
+	for _, o := range []*jsonc.Object{match, key, retry, hedge, bounds} {
+		o.Close()
+	}
+	return r
+}
+
+// Stop reads a stop record; problems are left in the object.
+func (Decoder) Stop(obj *jsonc.Object) *stop.Stop {
+	target := obj.Object("target")
+	s := &stop.Stop{
+		Name:    obj.Required("name"),
+		Service: target.String("service", ""),
+		Target:  target.String("name", ""),
+		Entry:   obj.String("entry", ""),
+		At:      obj.Time("at"),
+	}
+	target.Close()
+	return s
+}
+
+// Limits reads a limits record; problems are left in the object.
+func (Decoder) Limits(obj *jsonc.Object) *limits.Limits {
+	standard := limits.Default()
+	return &limits.Limits{
+		Name:            obj.Required("name"),
+		ReadsPerSecond:  obj.Int("reads-per-second", standard.ReadsPerSecond, 1, maxCount),
+		WritesPerSecond: obj.Int("writes-per-second", standard.WritesPerSecond, 1, maxCount),
+		MaxEntries:      obj.Int("max-entries", standard.MaxEntries, 1, 10_000),
+	}
+}
--- /dev/null
+++ b/core/schema2/doc.go
@@ -0,0 +1,2 @@
+// Package schema2 decodes records of schema 2, the current one.
+package schema2
--- /dev/null
+++ b/core/snapshot/doc.go
@@ -0,0 +1,2 @@
+// Package snapshot shows the state of a balancer, to explain its decisions.
+package snapshot
--- /dev/null
+++ b/core/stop/doc.go
@@ -0,0 +1,2 @@
+// Package stop describes a planned stop of a target or of an entry.
+package stop
--- /dev/null
+++ b/ctl/app/doc.go
@@ -0,0 +1,2 @@
+// Package app is the command line: one file for each group of commands.
+package app
--- /dev/null
+++ b/ctl/client/doc.go
@@ -0,0 +1,2 @@
+// Package client speaks to the operator API of an entry.
+package client
--- /dev/null
+++ b/ctl/doc.go
@@ -0,0 +1,2 @@
+// Command poplarctl is the operators' command line.
+package main
--- /dev/null
+++ b/ctl/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples holds a commented record of each kind and schema.
+package examples
--- /dev/null
+++ b/ctl/main.go
@@ -0,0 +1,11 @@
+package main
+
+import (
+	"os"
+
+	"poplarworks/ctl/app"
+)
+
+func main() {
+	os.Exit(app.Run(os.Args))
+}
--- /dev/null
+++ b/ctl/render/doc.go
@@ -0,0 +1,2 @@
+// Package render prints answers as tables or JSON.
+package render
--- /dev/null
+++ b/entry/app/entry.go
@@ -0,0 +1,237 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"poplarworks/core/balancer"
+	"poplarworks/core/catalog"
+	"poplarworks/core/record"
+	"poplarworks/entry/buffers"
+	"poplarworks/entry/caller"
+	"poplarworks/entry/claims"
+	"poplarworks/entry/common"
+	"poplarworks/entry/crashes"
+	"poplarworks/entry/dispatch"
+	"poplarworks/entry/dump"
+	"poplarworks/entry/exchange"
+	"poplarworks/entry/health"
+	"poplarworks/entry/objects"
+	"poplarworks/entry/operator"
+	"poplarworks/entry/peer"
+	"poplarworks/entry/prober"
+	"poplarworks/entry/records"
+	"poplarworks/entry/store"
+	"poplarworks/entry/table"
+	"poplarworks/entry/target"
+	"poplarworks/entry/vmlist"
+)
+
+const (
+	platformConnections = 32
+	platformIdle        = 30 * time.Second
+)
+
+// entry holds the parts of one process.
+type entry struct {
+	*common.Common
+
+	store     *store.Store
+	records   *records.Keeper
+	directory *dispatch.Directory
+	pool      *target.Pool
+	prober    *prober.Prober
+	claims    *claims.Keeper
+	crashes   *crashes.Keeper
+	mesh      *peer.Mesh
+	health    *health.Keeper
+	handler   *exchange.Handler
+	callers   *caller.Server
+	operators *operator.Server
+	dumper    *dump.Dumper
+}
+
+func newEntry(c *common.Common) *entry {
+	e := &entry{Common: c}
+	e.buildPlatform()
+	e.buildTargets()
+	e.buildPeers()
+	e.buildCallers()
+	e.buildOperators()
+	return e
+}
+
+// platformClient has its own bounded connections, so that a slow service cannot use up what others need.
+func (e *entry) platformClient() *http.Client {
+	return &http.Client{
+		Timeout: 10 * e.Settings.PlatformTimeout,
+		Transport: &http.Transport{
+			MaxConnsPerHost:     platformConnections,
+			MaxIdleConnsPerHost: platformConnections,
+			IdleConnTimeout:     platformIdle,
+		},
+	}
+}
+
+func (e *entry) buildPlatform() {
+	e.store = &store.Store{
+		Common: e.Common,
+		Client: &table.Client{URL: e.Settings.TableURL, HTTP: e.platformClient()},
+	}
+	e.store.Limit((&catalog.Catalog{}).Limits())
+	objects := &objects.Client{URL: e.Settings.ObjectsURL, HTTP: e.platformClient()}
+	e.records = &records.Keeper{
+		Common:  e.Common,
+		Table:   e.store,
+		Objects: objects,
+		Share:   func(list []record.Record) { e.mesh.TellRecords(list) },
+		Changed: e.configure,
+	}
+	e.claims = &claims.Keeper{Common: e.Common, Table: e.store, Objects: objects}
+}
+
+// configure puts changed records in force in every part.
+func (e *entry) configure(c *catalog.Catalog) {
+	e.store.Limit(c.Limits())
+	e.directory.Configure(c)
+}
+
+func (e *entry) buildTargets() {
+	e.directory = &dispatch.Directory{Common: e.Common, NewPicker: e.newPicker}
+	e.pool = &target.Pool{Common: e.Common, Share: e.directory.Share}
+	e.prober = &prober.Prober{Common: e.Common, Services: e.directory, Targets: e.pool}
+}
+
+func (e *entry) buildPeers() {
+	e.crashes = &crashes.Keeper{Common: e.Common}
+	e.health = &health.Keeper{Common: e.Common, Records: e.records}
+	e.mesh = &peer.Mesh{
+		Common:   e.Common,
+		VMs:      &vmlist.Client{URL: e.Settings.VMsURL, HTTP: e.platformClient()},
+		Records:  e.records,
+		Claims:   e.claims,
+		Crashes:  e.crashes,
+		Services: e.directory,
+		Leaving:  e.health.Leaving,
+	}
+	e.crashes.Tell = e.mesh.TellCrash
+	e.claims.Ask = e.mesh.AskAnswer
+}
+
+func (e *entry) buildCallers() {
+	e.handler = &exchange.Handler{
+		Common:   e.Common,
+		Records:  e.records,
+		Services: e.directory,
+		Targets:  e.pool,
+		Claims:   e.claims,
+		Crashes:  e.crashes,
+		Refusing: e.health.Refusing,
+		Left:     e.mesh.TellLeaving,
+		Quota:    &buffers.Quota{Max: e.Settings.MaxBufferedBytes},
+	}
+	e.callers = &caller.Server{Common: e.Common, Handler: e.withHealth(e.handler)}
+	e.mesh.InFlight = e.handler.InFlight
+}
+
+// withHealth answers the platform's balancer on the callers' address too.
+func (e *entry) withHealth(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/.poplar/healthz":
+			e.health.Healthz(w, r)
+		case "/.poplar/readyz":
+			e.health.Readyz(w, r)
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+func (e *entry) buildOperators() {
+	e.dumper = &dump.Dumper{
+		Common:      e.Common,
+		State:       e.health.State,
+		Catalog:     e.records.Catalog,
+		Complete:    e.records.Complete,
+		Services:    e.directory.Dump,
+		Members:     e.mesh.Members,
+		Claims:      e.claims.Held,
+		Connections: e.pool.Connections,
+		StoreDown:   e.store.Down,
+		Quarantine:  e.crashes.Size,
+		InFlight:    e.handler.InFlight,
+		Buffered:    e.handler.Quota.Held,
+		Callers:     e.callers.Connections,
+	}
+	e.mesh.Dump = e.dumper.JSON
+	e.operators = &operator.Server{
+		Common:  e.Common,
+		Records: e.records,
+		Peers:   e.mesh,
+		OwnWork: e.ownWork,
+		Dump:    e.dumper.JSON,
+		Status:  e.dumper.StatusJSON,
+		Healthz: e.health.Healthz,
+		Readyz:  e.health.Readyz,
+	}
+}
+
+// ownWork answers for this entry what AskWork asks of a peer.
+func (e *entry) ownWork(service, name string) peer.Work {
+	work := peer.Work{Entry: e.Settings.Name, Revision: e.records.Complete()}
+	if name == "" {
+		work.InFlight, work.Open = e.handler.InFlight(), !e.health.Leaving()
+		return work
+	}
+	if s, ok := e.directory.Get(service); ok {
+		s.Do(func(b *balancer.Balancer, now time.Time) { work.InFlight, work.Open = b.InFlight(now, name) })
+	}
+	return work
+}
+
+// run serves until the signal context ends, and then drains.
+func (e *entry) run(signalled context.Context) error {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(signalled))
+	defer cancel()
+	e.pool.Start()
+	e.crashes.Start()
+	e.claims.Start()
+	for _, start := range []func(context.Context) error{e.mesh.Start, e.operators.Start, e.callers.Start} {
+		if err := start(ctx); err != nil {
+			return err
+		}
+	}
+	for _, run := range []func(context.Context){
+		e.directory.Run, e.pool.Run, e.prober.Run, e.records.Run, e.claims.Run, e.mesh.Run, e.health.Run,
+	} {
+		go run(ctx)
+	}
+	e.Log("app").WithField("entry", e.Settings.Name).WithField("incarnation", e.Incarnation).Info("The entry has started.")
+	<-signalled.Done()
+	e.drain()
+	return nil
+}
+
+// drain lets the platform's balancer take note, ends what is in flight, and writes outcomes that are still in hand.
+func (e *entry) drain() {
+	e.Log("app").Info("The entry is stopping.")
+	e.health.Stop()
+	e.callers.CloseIdle()
+	time.Sleep(e.Settings.DrainGrace)
+	if err := e.callers.Shutdown(e.Settings.DrainTimeout); err != nil {
+		e.Log("app").WithError(err).Error("Requests were cut, since the drain timeout has passed.")
+	}
+	e.settleClaims()
+	e.Log("app").Info("The entry has stopped.")
+}
+
+const settleWait = 5 * time.Second
+
+func (e *entry) settleClaims() {
+	end := e.Now().Add(settleWait)
+	for len(e.claims.Held()) > 0 && e.Now().Before(end) {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/entry/app/picker.go
@@ -0,0 +1,78 @@
+package app
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"poplarworks/core/balancer"
+	"poplarworks/core/leastoftwo"
+	"poplarworks/core/oracle"
+	"poplarworks/core/powerofd"
+	"poplarworks/core/randompick"
+	"poplarworks/core/roundrobin"
+)
+
+const (
+	oracleTimeout = 200 * time.Millisecond
+	unknownCost   = 1e9
+)
+
+// newPicker returns the picker that the settings name; all but power-of-d serve as baselines for measurements.
+func (e *entry) newPicker(random *rand.Rand) balancer.Picker {
+	switch e.Settings.Picker {
+	case "round-robin":
+		return &roundrobin.Picker{}
+	case "random":
+		return &randompick.Picker{Random: random}
+	case "least-of-two":
+		return &leastoftwo.Picker{Random: random}
+	case "oracle":
+		loads := &trueLoads{url: e.Settings.OracleURL, client: &http.Client{Timeout: oracleTimeout}}
+		return &oracle.Picker{Random: random, Refresh: loads.refresh, TrueCost: loads.cost}
+	default:
+		return &powerofd.Picker{Choices: e.Settings.Choices, Random: random}
+	}
+}
+
+// trueLoads reads the true load of stand-in targets, for the oracle.
+type trueLoads struct {
+	url    string
+	client *http.Client
+	costs  map[string]float64
+}
+
+func (l *trueLoads) cost(target string) float64 {
+	if cost, ok := l.costs[target]; ok {
+		return cost
+	}
+	return unknownCost
+}
+
+// refresh reads lines of name, running, waiting and slowdown.
+func (l *trueLoads) refresh() {
+	l.costs = map[string]float64{}
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, l.url+"/loads", http.NoBody)
+	if err != nil {
+		return
+	}
+	answer, err := l.client.Do(request)
+	if err != nil {
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		var name string
+		var running, waiting, slots int
+		var slowdown float64
+		if _, err := fmt.Sscan(lines.Text(), &name, &running, &waiting, &slots, &slowdown); err != nil {
+			continue
+		}
+		queued := max(0, running+waiting+1-slots)
+		l.costs[name] = slowdown*(1+float64(queued)/float64(slots)) + 0.001*float64(running+waiting)
+	}
+}
--- /dev/null
+++ b/entry/buffers/doc.go
@@ -0,0 +1,2 @@
+// Package buffers bounds the memory that held requests and answers take together.
+package buffers
--- /dev/null
+++ b/entry/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller accepts the connections of callers.
+package caller
--- /dev/null
+++ b/entry/claims/keys.go
@@ -0,0 +1,28 @@
+package claims
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"poplarworks/core/claim"
+)
+
+const (
+	claimPrefix  = "claim/"
+	expiryPrefix = "expiry/"
+	answerPrefix = "answers/"
+)
+
+// expiryKey names the row by which the clean-up finds a claim; its keys sort by the hour of expiry.
+func expiryKey(row claim.Row, key string) string {
+	return fmt.Sprintf("%s%010d/%s", expiryPrefix, row.Expires.Unix()/3600, strings.TrimPrefix(key, claimPrefix))
+}
+
+// parseExpiryKey returns the hour of expiry and the key of the claim.
+func parseExpiryKey(key string) (time.Time, string, bool) {
+	hour, id, ok := strings.Cut(strings.TrimPrefix(key, expiryPrefix), "/")
+	number, err := strconv.ParseInt(hour, 10, 64)
+	return time.Unix(number*3600, 0), claimPrefix + id, ok && err == nil
+}
--- /dev/null
+++ b/entry/common/doc.go
@@ -0,0 +1,2 @@
+// Package common carries what every part of the entry needs.
+package common
--- /dev/null
+++ b/entry/crashes/keeper.go
@@ -0,0 +1,75 @@
+package crashes
+
+import (
+	"sync"
+	"time"
+
+	"poplarworks/core/quarantine"
+	"poplarworks/entry/common"
+)
+
+const (
+	threshold = 2
+	period    = time.Minute
+	capacity  = 10_000
+)
+
+// Keeper holds the quarantine; its exported fields are set before use.
+type Keeper struct {
+	*common.Common
+	Tell func(print quarantine.Fingerprint, target string) // tells the peers of a crash
+
+	mu   sync.Mutex
+	list quarantine.List
+}
+
+// Start prepares the keeper; call it before anything else.
+func (k *Keeper) Start() {
+	k.list = quarantine.List{Threshold: threshold, Period: period, Capacity: capacity}
+}
+
+// Crash counts a crash that this entry has seen, and tells the peers.
+func (k *Keeper) Crash(print quarantine.Fingerprint, target string) {
+	if !k.Heard(print, target) {
+		return
+	}
+	k.Log("crashes").WithField("target", target).Warn("A target broke off without an answer.")
+	k.Tell(print, target)
+}
+
+// Heard counts a crash that a peer has seen, and reports whether it was news.
+func (k *Keeper) Heard(print quarantine.Fingerprint, target string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.list.Crash(k.Now(), print, target)
+}
+
+// Blocked reports whether the request is in quarantine, and until when.
+func (k *Keeper) Blocked(now time.Time, print quarantine.Fingerprint) (time.Time, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.list.Blocked(now, print)
+}
+
+// Suspect reports whether the request has crashed a target lately.
+func (k *Keeper) Suspect(now time.Time, print quarantine.Fingerprint) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.list.Suspect(now, print)
+}
+
+// Forgive clears a request that a target has answered.
+func (k *Keeper) Forgive(print quarantine.Fingerprint) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.list.Size() > 0 {
+		k.list.Forgive(k.Now(), print)
+	}
+}
+
+// Size returns the number of requests that have crashed a target lately.
+func (k *Keeper) Size() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.list.Size()
+}
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Command poplar-entry is the daemon that runs on every entry VM.
+package main
--- /dev/null
+++ b/entry/dump/alarms.go
@@ -0,0 +1,42 @@
+package dump
+
+import (
+	"fmt"
+
+	"poplarworks/core/entrystate"
+	"poplarworks/core/membership"
+)
+
+const manyBuffered = 0.9 // share of the quota for held bodies above which new ones are about to be refused
+
+// alarms names what docs/OPERATING.md explains.
+func (d *Dumper) alarms() []string {
+	alarms := []string{}
+	add := func(format string, args ...any) { alarms = append(alarms, fmt.Sprintf(format, args...)) }
+	if d.State() == entrystate.Starting {
+		add("no-records: no source of records has answered yet")
+	}
+	if d.StoreDown() {
+		add("store-down: the table service does not answer")
+	}
+	if n := d.Quarantine(); n > 0 {
+		add("crashing-requests: %d requests have crashed targets lately", n)
+	}
+	if float64(d.Buffered()) > manyBuffered*float64(d.Settings.MaxBufferedBytes) {
+		add("buffers-full: held bodies take nearly all of max-buffered-bytes")
+	}
+	for _, m := range d.Members() {
+		if m.Listed && m.State != membership.Alive {
+			add("peer-silent: %s is listed and %s", m.Name, m.State)
+		}
+	}
+	for _, s := range d.Services() {
+		if s.Ejected > 0 {
+			add("targets-ejected: service %s has ejected %d of %d targets", s.Name, s.Ejected, len(s.Targets))
+		}
+		if s.Standing[0] {
+			add("queue-standing: short requests of service %s wait", s.Name)
+		}
+	}
+	return alarms
+}
--- /dev/null
+++ b/entry/exchange/handler.go
@@ -0,0 +1,93 @@
+package exchange
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"poplarworks/core/answer"
+	"poplarworks/core/catalog"
+	"poplarworks/core/code"
+	"poplarworks/core/quarantine"
+	"poplarworks/entry/buffers"
+	"poplarworks/entry/claims"
+	"poplarworks/entry/common"
+	"poplarworks/entry/dispatch"
+	"poplarworks/entry/refusal"
+	"poplarworks/entry/target"
+)
+
+type records interface {
+	Catalog() *catalog.Catalog
+	Ready() bool
+}
+
+type services interface {
+	Get(name string) (*dispatch.Service, bool)
+}
+
+type targets interface {
+	Begin(ctx context.Context, address netip.AddrPort, r *http.Request, once bool) (*target.Exchange, bool, error)
+}
+
+type claimKeeper interface {
+	Claim(ctx context.Context, ticket *claims.Ticket) claims.Result
+	Look(ctx context.Context, ticket *claims.Ticket) claims.Result
+	Settle(ticket *claims.Ticket, kept *answer.Answer)
+}
+
+type crashes interface {
+	Blocked(now time.Time, print quarantine.Fingerprint) (time.Time, bool)
+	Suspect(now time.Time, print quarantine.Fingerprint) bool
+	Crash(print quarantine.Fingerprint, target string)
+	Forgive(print quarantine.Fingerprint)
+}
+
+// Handler serves callers; its exported fields are set before use.
+type Handler struct {
+	*common.Common
+	Records  records
+	Services services
+	Targets  targets
+	Claims   claimKeeper
+	Crashes  crashes
+	Refusing func() bool                         // whether new requests are refused, since the entry is stopping
+	Left     func(service string, target string) // tells of a target that says it is leaving
+	Quota    *buffers.Quota
+
+	inFlight atomic.Int64
+}
+
+// InFlight returns the requests that are being served.
+func (h *Handler) InFlight() int {
+	return int(h.inFlight.Load())
+}
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	h.Counter("caller.requests").Inc(1)
+	begun := h.Now()
+	c := &call{Handler: h, w: w, r: r, control: http.NewResponseController(w)}
+	defer c.close()
+	if refused := c.prepare(); refused != nil {
+		c.refuse(*refused)
+		return
+	}
+	c.serve()
+	h.Histogram("caller.us").Update(h.Now().Sub(begun).Microseconds())
+}
+
+// admit refuses what cannot be served before the request is looked at.
+func (h *Handler) admit() *refusal.Refusal {
+	if h.Refusing() {
+		return &refusal.Refusal{Code: code.Draining, Run: code.NotRun, RetryAfter: time.Second}
+	}
+	if !h.Records.Ready() {
+		return &refusal.Refusal{Code: code.NotReady, Run: code.NotRun, RetryAfter: time.Second}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/exchange/prepare.go
@@ -0,0 +1,191 @@
+package exchange
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"poplarworks/core/code"
+	"poplarworks/core/quarantine"
+	"poplarworks/core/request"
+	"poplarworks/core/rule"
+	"poplarworks/entry/refusal"
+	"poplarworks/entry/relay"
+)
+
+const (
+	maxIDLength  = 128
+	maxKeyLength = 256
+)
+
+// prepare finds rule and service and reads what is needed of the request; it returns a refusal or nil.
+func (c *call) prepare() *refusal.Refusal {
+	if refused := c.admit(); refused != nil {
+		return refused
+	}
+	c.identify()
+	if refused := c.checkHeader(); refused != nil {
+		return refused
+	}
+	host, _, err := net.SplitHostPort(c.r.Host)
+	if err != nil {
+		host = c.r.Host
+	}
+	found, ok := c.Records.Catalog().Match(host, c.r.Method, c.r.URL.Path)
+	if !ok {
+		return refused(code.NoRule)
+	}
+	c.rule = found
+	c.service, ok = c.Services.Get(found.Service)
+	if !ok {
+		return refused(code.NoTarget)
+	}
+	c.setDeadline()
+	if refused := c.readKey(); refused != nil {
+		return refused
+	}
+	if refused := c.readBody(); refused != nil {
+		return refused
+	}
+	c.print = c.fingerprint()
+	if until, blocked := c.Crashes.Blocked(c.Now(), c.print); blocked {
+		return &refusal.Refusal{Code: code.Quarantined, Run: code.NotRun, RetryAfter: until.Sub(c.Now())}
+	}
+	return nil
+}
+
+func refused(number code.Code) *refusal.Refusal {
+	r := refusal.NotRun(number)
+	return &r
+}
+
+func (c *call) identify() {
+	remote, err := netip.ParseAddrPort(c.r.RemoteAddr)
+	if err != nil {
+		remote = netip.AddrPort{}
+	}
+	c.origin = relay.Origin{Remote: remote.Addr().Unmap(), Secure: c.r.TLS != nil}
+	for _, prefix := range c.Settings.TrustedBalancers {
+		c.origin.Trusted = c.origin.Trusted || prefix.Contains(c.origin.Remote)
+	}
+	c.id = c.r.Header.Get(relay.RequestIDHeader)
+	if c.id == "" || len(c.id) > maxIDLength || !printable(c.id) {
+		c.id = rand.Text()
+	}
+}
+
+func printable(text string) bool {
+	return !strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+func (c *call) checkHeader() *refusal.Refusal {
+	size := len(c.r.RequestURI)
+	for name, values := range c.r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + 4
+		}
+	}
+	if size > c.Settings.MaxHeaderBytes {
+		return refused(code.HeadersTooLarge)
+	}
+	if c.r.Method == http.MethodConnect || !strings.HasPrefix(c.r.URL.Path, "/") || c.r.Host == "" {
+		return refused(code.MalformedRequest)
+	}
+	return nil
+}
+
+func (c *call) setDeadline() {
+	now := c.Now()
+	span := c.rule.Deadline
+	if text := c.r.Header.Get(relay.DeadlineHeader); text != "" {
+		if ms, err := strconv.ParseInt(text, 10, 32); err == nil && ms > 0 {
+			span = min(span, time.Duration(ms)*time.Millisecond)
+		}
+	}
+	c.ctx, c.cancel = context.WithDeadline(c.r.Context(), now.Add(span))
+	c.request = request.Request{
+		Rule:     &c.rule,
+		Caller:   c.caller(),
+		Arrived:  now,
+		Deadline: now.Add(span),
+		Attempt:  retriesBefore(c.r.Header),
+	}
+}
+
+// caller names the caller for fair queueing.
+func (c *call) caller() string {
+	if id := c.identity(); id != "" {
+		return id
+	}
+	return relay.Caller(c.r.Header, c.origin)
+}
+
+// identity names the caller for claims; an address is no identity, since it changes between a send and its repetition.
+func (c *call) identity() string {
+	if c.Settings.CallerHeader == "" {
+		return ""
+	}
+	return c.r.Header.Get(c.Settings.CallerHeader)
+}
+
+func (c *call) readKey() *refusal.Refusal {
+	if c.rule.Idempotent {
+		return nil
+	}
+	values := c.r.Header.Values(c.rule.KeyHeader)
+	if len(values) == 0 {
+		if c.rule.KeyRequired {
+			return refused(code.KeyMissing)
+		}
+		return nil
+	}
+	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKeyLength || !printable(values[0]) {
+		return refused(code.KeyMalformed)
+	}
+	c.key = values[0]
+	return nil
+}
+
+// fingerprint identifies the request in quarantine: by its key, or by all that a caller sends again.
+func (c *call) fingerprint() quarantine.Fingerprint {
+	hash := sha256.New()
+	write := func(text string) {
+		_, _ = hash.Write([]byte(text))
+		_, _ = hash.Write([]byte{0})
+	}
+	write(c.rule.Service)
+	if c.key != "" {
+		write(c.identity())
+		write(c.key)
+	} else {
+		write(c.r.Method)
+		write(c.r.URL.RequestURI())
+		_, _ = hash.Write(c.body.prefix)
+	}
+	return quarantine.Fingerprint(hash.Sum(nil)[:16])
+}
+
+// contentPrint identifies method, path and body, to tell a repetition from another request under the same key.
+func (c *call) contentPrint() []byte {
+	hash := sha256.New()
+	_, _ = hash.Write([]byte(c.r.Method + "\x00" + c.r.URL.RequestURI() + "\x00"))
+	_, _ = hash.Write(c.body.prefix)
+	return hash.Sum(nil)
+}
+
+// buffered reports whether the body is read whole before the request is sent.
+func (c *call) buffered() bool {
+	if c.once() && c.key != "" {
+		return true
+	}
+	if c.rule.Class == rule.Long {
+		return c.r.ContentLength >= 0 && c.r.ContentLength <= smallBody
+	}
+	return c.r.ContentLength <= bufferedBody
+}
--- /dev/null
+++ b/entry/objects/doc.go
@@ -0,0 +1,2 @@
+// Package objects speaks to the platform's object store.
+package objects
--- /dev/null
+++ b/entry/operator/records.go
@@ -0,0 +1,155 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"poplarworks/core/code"
+	"poplarworks/core/jsonc"
+	"poplarworks/core/notation"
+	"poplarworks/core/record"
+	"poplarworks/entry/records"
+	"poplarworks/entry/store"
+)
+
+const operatorHeader = "Poplar-Operator"
+
+type wireRecord struct {
+	Kind     string `json:"kind"`
+	Name     string `json:"name"`
+	Schema   int    `json:"schema"`
+	Revision uint64 `json:"revision"`
+	Writer   string `json:"writer"`
+	Source   string `json:"source,omitempty"`
+}
+
+func toWire(rec record.Record, source bool) wireRecord {
+	writer, _, _ := strings.Cut(rec.WriteID, "/")
+	wire := wireRecord{
+		Kind:     string(rec.Key.Kind),
+		Name:     rec.Key.Name,
+		Schema:   rec.Schema,
+		Revision: rec.Revision,
+		Writer:   writer,
+	}
+	if source {
+		wire.Source = string(rec.Source)
+	}
+	return wire
+}
+
+func (s *Server) listRecords(w http.ResponseWriter, r *http.Request) {
+	kind := r.URL.Query().Get("kind")
+	list := []wireRecord{}
+	for _, rec := range s.Records.Catalog().All() {
+		if !rec.Deleted && (kind == "" || kind == string(rec.Key.Kind)) {
+			list = append(list, toWire(rec, false))
+		}
+	}
+	answer(w, list)
+}
+
+func key(r *http.Request) record.Key {
+	return record.Key{Kind: record.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+}
+
+func (s *Server) getRecord(w http.ResponseWriter, r *http.Request) {
+	rec, ok := s.Records.Catalog().Get(key(r))
+	if !ok || rec.Deleted {
+		refuse(w, code.NotFound, "")
+		return
+	}
+	answer(w, toWire(rec, true))
+}
+
+func (s *Server) putRecord(w http.ResponseWriter, r *http.Request) {
+	rec, ok := readRecord(w, r)
+	if !ok {
+		return
+	}
+	if rec.Key != key(r) {
+		refuse(w, code.BadRecord, fmt.Sprintf("the record is %s/%s, the path names %s/%s",
+			rec.Key.Kind, rec.Key.Name, r.PathValue("kind"), r.PathValue("name")))
+		return
+	}
+	s.write(w, r, rec)
+}
+
+func (s *Server) deleteRecord(w http.ResponseWriter, r *http.Request) {
+	if held, ok := s.Records.Catalog().Get(key(r)); !ok || held.Deleted {
+		refuse(w, code.NotFound, "")
+		return
+	}
+	s.write(w, r, record.Record{Key: key(r), Deleted: true})
+}
+
+func (s *Server) validate(w http.ResponseWriter, r *http.Request) {
+	rec, ok := readRecord(w, r)
+	if !ok {
+		return
+	}
+	if err := s.Records.Catalog().Check(rec); err != nil {
+		refuse(w, code.BadRecord, err.Error())
+		return
+	}
+	answer(w, toWire(rec, false))
+}
+
+func readRecord(w http.ResponseWriter, r *http.Request) (record.Record, bool) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, jsonc.MaxBytes))
+	if err != nil {
+		refuse(w, code.BadRecord, err.Error())
+		return record.Record{}, false
+	}
+	name := r.URL.Query().Get("file")
+	if name == "" {
+		name = "record"
+	}
+	rec, err := notation.Decode(name, text)
+	if err != nil {
+		refuse(w, code.BadRecord, err.Error())
+		return record.Record{}, false
+	}
+	return rec, true
+}
+
+// write accepts a record; the query names the revision that it replaces and the write id.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, rec record.Record) {
+	replaces, err := strconv.ParseUint(r.URL.Query().Get("replaces"), 10, 64)
+	if err != nil {
+		refuse(w, code.BadRecord, "replaces: expected the revision that this write replaces, 0 for a new record")
+		return
+	}
+	operator := r.Header.Get(operatorHeader)
+	if operator == "" {
+		operator = "unnamed"
+	}
+	id := r.URL.Query().Get("write-id")
+	if id == "" {
+		id = rand.Text()
+	}
+	rec.WriteID = strings.ReplaceAll(operator, "/", "-") + "/" + id
+	// The write goes on when the operator's connection breaks, since it may have taken effect already.
+	accepted, err := s.Records.Put(context.WithoutCancel(r.Context()), rec, replaces)
+	switch {
+	case err == nil:
+		s.Log("operator").WithField("record", rec.Key).WithField("revision", accepted.Revision).WithField("writer", operator).Info("A record was accepted.")
+		answer(w, toWire(accepted, false))
+	case errors.Is(err, records.ErrConflict):
+		met := toWire(accepted, false)
+		refuse(w, code.RevisionConflict, fmt.Sprintf("revision %d by %s stands, not revision %d", met.Revision, met.Writer, replaces))
+	case errors.Is(err, records.ErrInvalid):
+		refuse(w, code.BadRecord, err.Error())
+	case errors.Is(err, store.ErrDown):
+		refuse(w, code.StoreUnavailable, "nothing was written")
+	default:
+		refuse(w, code.WriteUnknown, "send the same write id again to settle it: "+id)
+	}
+}
--- /dev/null
+++ b/entry/peer/mesh.go
@@ -0,0 +1,271 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"poplarworks/core/answer"
+	"poplarworks/core/balancer"
+	"poplarworks/core/catalog"
+	"poplarworks/core/digest"
+	"poplarworks/core/membership"
+	"poplarworks/core/quarantine"
+	"poplarworks/core/record"
+	"poplarworks/entry/common"
+	"poplarworks/entry/dispatch"
+	"poplarworks/entry/peerpb"
+	"poplarworks/entry/recordwire"
+	"poplarworks/entry/tlsfiles"
+	"poplarworks/entry/vmlist"
+)
+
+// Protocol versions that this entry speaks.
+const (
+	oldestVersion = 1
+	newestVersion = 1
+)
+
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	listInterval      = time.Second
+	digestInterval    = 250 * time.Millisecond
+	longInterval      = 5 * time.Millisecond // between digests while long requests start and end
+	pullInterval      = time.Second
+	pullTimeout       = 5 * time.Second
+)
+
+type vmSource interface {
+	List(ctx context.Context) ([]vmlist.VM, error)
+}
+
+type recordKeeper interface {
+	Catalog() *catalog.Catalog
+	Complete() uint64
+	Above(revision uint64) ([]record.Record, uint64)
+	Receive(records []record.Record, complete uint64)
+}
+
+type claimKeeper interface {
+	Await(ctx context.Context, nonce string) (*answer.Answer, bool)
+}
+
+type crashKeeper interface {
+	Heard(print quarantine.Fingerprint, target string) bool
+}
+
+type services interface {
+	Get(name string) (*dispatch.Service, bool)
+	All() map[string]*dispatch.Service
+}
+
+// Mesh holds a connection to every other entry; its exported fields are set before Run.
+type Mesh struct {
+	*common.Common
+	VMs      vmSource
+	Records  recordKeeper
+	Claims   claimKeeper
+	Crashes  crashKeeper
+	Services services
+	Dump     func() []byte
+	Leaving  func() bool // whether this entry is stopping
+	InFlight func() int  // requests that this entry serves
+
+	codec  recordwire.Codec
+	loader *tlsfiles.Loader
+
+	mu       sync.Mutex
+	members  membership.Members
+	links    map[string]*link
+	pulledAt map[string]time.Time
+	sequence uint64
+}
+
+// Members returns the other entries as seen from here.
+func (m *Mesh) Members() []membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.All()
+}
+
+// Run follows the members and talks to them until the context ends.
+func (m *Mesh) Run(ctx context.Context) {
+	go m.followList(ctx)
+	go m.sendDigests(ctx)
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		m.beat()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Mesh) followList(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		vms, err := m.VMs.List(ctx)
+		if err != nil {
+			m.Log("peer").WithError(err).Debug("The VM list cannot be read.")
+		} else {
+			m.setList(ctx, vms)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// setList opens links to new members and closes those of members that are gone.
+func (m *Mesh) setList(ctx context.Context, vms []vmlist.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var listed []membership.Member
+	for _, vm := range vms {
+		listed = append(listed, membership.Member{Name: vm.Name, Peer: vm.Peer, DataCentre: vm.DataCentre})
+	}
+	now := m.Now()
+	m.members.SetList(now, listed)
+	wanted := map[string]bool{}
+	for _, member := range m.members.All() {
+		if !member.Peer.IsValid() || !member.Listed && member.State == membership.Dead {
+			continue
+		}
+		wanted[member.Name] = true
+		m.openLink(ctx, member)
+	}
+	for name, l := range m.links {
+		if !wanted[name] {
+			l.cancel()
+			delete(m.links, name)
+		}
+	}
+}
+
+// openLink is called with the lock held; a member that has moved gets a new link.
+func (m *Mesh) openLink(ctx context.Context, member membership.Member) {
+	held, ok := m.links[member.Name]
+	if ok && held.address == member.Peer {
+		return
+	}
+	if ok {
+		held.cancel()
+	}
+	bounded, cancel := context.WithCancel(ctx)
+	l := &link{mesh: m, name: member.Name, address: member.Peer, cancel: cancel, outbox: make(chan *peerpb.Envelope, outboxSize)}
+	m.links[member.Name] = l
+	go l.run(bounded)
+}
+
+// beat sends heartbeats, and with them the targets that are leaving, since a notice may have been lost.
+func (m *Mesh) beat() {
+	m.mu.Lock()
+	m.members.Tick(m.Now())
+	m.sequence++
+	sequence := m.sequence
+	m.mu.Unlock()
+	m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+		Name:        m.Settings.Name,
+		Incarnation: m.Incarnation,
+		Sequence:    sequence,
+		Revision:    m.Records.Complete(),
+		Leaving:     m.Leaving(),
+	}}})
+	for name, s := range m.Services.All() {
+		var left []string
+		s.Do(func(b *balancer.Balancer, _ time.Time) { left = b.Left() })
+		for _, target := range left {
+			m.TellLeaving(name, target)
+		}
+	}
+}
+
+func (m *Mesh) broadcast(e *peerpb.Envelope) {
+	e.Version = newestVersion
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.links {
+		l.send(e)
+	}
+}
+
+// TellRecords sends new records to all peers.
+func (m *Mesh) TellRecords(records []record.Record) {
+	wire := &peerpb.Records{}
+	for _, rec := range records {
+		wire.Records = append(wire.Records, m.codec.ToWire(rec))
+	}
+	m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Records{Records: wire}})
+}
+
+// TellLeaving tells all peers that a target is leaving.
+func (m *Mesh) TellLeaving(service, target string) {
+	m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Leaving{Leaving: &peerpb.Leaving{Service: service, Target: target}}})
+}
+
+// TellCrash tells all peers of a request that crashed a target.
+func (m *Mesh) TellCrash(print quarantine.Fingerprint, target string) {
+	m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Crash{Crash: &peerpb.Crash{Fingerprint: print[:], Target: target}}})
+}
+
+// sendDigests tells the peers of own requests in flight: at once when long ones change, and else now and then.
+func (m *Mesh) sendDigests(ctx context.Context) {
+	ticker := time.NewTicker(longInterval)
+	defer ticker.Stop()
+	var sentAt time.Time
+	sentLong := map[string]int{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		wire, long := m.digest()
+		due := m.Now().Sub(sentAt) >= digestInterval
+		if !due && equal(long, sentLong) {
+			continue
+		}
+		sentAt, sentLong = m.Now(), long
+		m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Digest{Digest: wire}})
+	}
+}
+
+func equal(a, b map[string]int) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for key, value := range a {
+		if b[key] != value {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Mesh) digest() (*peerpb.Digest, map[string]int) {
+	wire := &peerpb.Digest{Name: m.Settings.Name}
+	long := map[string]int{}
+	for name, s := range m.Services.All() {
+		var loads map[string]digest.Load
+		s.Do(func(b *balancer.Balancer, _ time.Time) { loads = b.Digest() })
+		part := &peerpb.ServiceLoad{Service: name}
+		for target, l := range loads {
+			part.Targets = append(part.Targets, &peerpb.TargetLoad{
+				Target:       target,
+				InFlight:     uint32(l.InFlight),
+				LongInFlight: uint32(l.Long),
+			})
+			if l.Long > 0 {
+				long[name+"/"+target] = l.Long
+			}
+		}
+		wire.Services = append(wire.Services, part)
+	}
+	return wire, long
+}
--- /dev/null
+++ b/entry/peer/server.go
@@ -0,0 +1,225 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"poplarworks/core/balancer"
+	"poplarworks/core/digest"
+	"poplarworks/core/membership"
+	"poplarworks/core/quarantine"
+	"poplarworks/core/record"
+	"poplarworks/entry/claimwire"
+	"poplarworks/entry/peerpb"
+	"poplarworks/entry/tlsfiles"
+)
+
+const answerWait = 30 * time.Second // longest wait for the answer to a request in flight here
+
+// Start listens for peers; it fails when the address or the TLS files cannot be used.
+func (m *Mesh) Start(ctx context.Context) error {
+	m.members.Self = m.Settings.Name
+	m.links = map[string]*link{}
+	m.pulledAt = map[string]time.Time{}
+	if m.Settings.PeerTLS.Enabled() {
+		m.loader = &tlsfiles.Loader{Files: m.Settings.PeerTLS}
+		if err := m.loader.Check(); err != nil {
+			return err
+		}
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", m.Settings.PeerAddress.String())
+	if err != nil {
+		return err
+	}
+	if m.loader != nil {
+		listener = tls.NewListener(listener, m.loader.Server())
+	}
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	go m.accept(ctx, listener)
+	return nil
+}
+
+func (m *Mesh) accept(ctx context.Context, listener net.Listener) {
+	for {
+		socket, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		session, err := yamux.Server(&meteredConn{Conn: socket, mesh: m}, yamuxConfig())
+		if err != nil {
+			_ = socket.Close()
+			continue
+		}
+		go m.serve(ctx, session)
+	}
+}
+
+func (m *Mesh) serve(ctx context.Context, session *yamux.Session) {
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	defer func() { _ = session.Close() }()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		go m.listen(ctx, stream)
+	}
+}
+
+// listen takes the messages of one stream; those of kinds that it does not know come from newer entries and are skipped.
+func (m *Mesh) listen(ctx context.Context, stream net.Conn) {
+	defer func() { _ = stream.Close() }()
+	reader := bufio.NewReader(stream)
+	for {
+		e, err := readEnvelope(reader)
+		if err != nil {
+			return
+		}
+		reply := m.receive(ctx, e)
+		if reply == nil {
+			continue
+		}
+		reply.Version = newestVersion
+		if _, err := protodelim.MarshalTo(stream, reply); err != nil {
+			return
+		}
+	}
+}
+
+// receive returns the reply to a question, or nil for a notice.
+func (m *Mesh) receive(ctx context.Context, e *peerpb.Envelope) *peerpb.Envelope {
+	switch body := e.GetBody().(type) {
+	case *peerpb.Envelope_Hello:
+		return m.greet(body.Hello)
+	case *peerpb.Envelope_Heartbeat:
+		m.hear(body.Heartbeat)
+	case *peerpb.Envelope_Records:
+		m.receiveRecords(body.Records)
+	case *peerpb.Envelope_Leaving:
+		m.receiveLeaving(body.Leaving)
+	case *peerpb.Envelope_Crash:
+		if len(body.Crash.GetFingerprint()) == len(quarantine.Fingerprint{}) {
+			m.Crashes.Heard(quarantine.Fingerprint(body.Crash.GetFingerprint()), body.Crash.GetTarget())
+		}
+	case *peerpb.Envelope_Digest:
+		m.receiveDigest(body.Digest)
+	case *peerpb.Envelope_RecordsRequest:
+		return m.replyRecords(body.RecordsRequest)
+	case *peerpb.Envelope_AnswerRequest:
+		return m.replyAnswer(ctx, body.AnswerRequest)
+	case *peerpb.Envelope_WorkRequest:
+		return m.replyWork(body.WorkRequest)
+	case *peerpb.Envelope_DumpRequest:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_Dump{Dump: &peerpb.Dump{Json: m.Dump()}}}
+	}
+	return nil
+}
+
+// greet answers a greeting, unless the two entries have no version in common.
+func (m *Mesh) greet(hello *peerpb.Hello) *peerpb.Envelope {
+	if hello.GetOldestVersion() > newestVersion || hello.GetNewestVersion() < oldestVersion {
+		m.Log("peer").WithField("peer", hello.GetName()).Error("A peer speaks no version that is known here.")
+		return &peerpb.Envelope{}
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Hello{Hello: &peerpb.Hello{
+		Name:          m.Settings.Name,
+		Incarnation:   m.Incarnation,
+		DataCentre:    m.Settings.DataCentre,
+		OldestVersion: oldestVersion,
+		NewestVersion: newestVersion,
+		Revision:      m.Records.Complete(),
+	}}}
+}
+
+func (m *Mesh) hear(h *peerpb.Heartbeat) {
+	m.mu.Lock()
+	fresh := m.members.Hear(m.Now(), membership.Heartbeat{
+		Name:        h.GetName(),
+		Incarnation: h.GetIncarnation(),
+		Sequence:    h.GetSequence(),
+		Revision:    h.GetRevision(),
+		Leaving:     h.GetLeaving(),
+	})
+	m.mu.Unlock()
+	if fresh {
+		m.pullIfBehind(h.GetName(), h.GetRevision())
+	}
+}
+
+func (m *Mesh) receiveRecords(wire *peerpb.Records) {
+	var records []record.Record
+	complete := wire.GetHead()
+	for _, w := range wire.GetRecords() {
+		rec, err := m.codec.FromWire(w)
+		if err != nil {
+			m.Log("peer").WithError(err).Error("A peer's record cannot be read.")
+			complete = 0
+			continue
+		}
+		records = append(records, rec)
+	}
+	m.Records.Receive(records, complete)
+}
+
+func (m *Mesh) receiveLeaving(l *peerpb.Leaving) {
+	s, ok := m.Services.Get(l.GetService())
+	if !ok {
+		return
+	}
+	s.Do(func(b *balancer.Balancer, now time.Time) { b.Leave(now, l.GetTarget()) })
+}
+
+func (m *Mesh) receiveDigest(d *peerpb.Digest) {
+	for _, part := range d.GetServices() {
+		s, ok := m.Services.Get(part.GetService())
+		if !ok {
+			continue
+		}
+		loads := map[string]digest.Load{}
+		for _, t := range part.GetTargets() {
+			loads[t.GetTarget()] = digest.Load{InFlight: int(t.GetInFlight()), Long: int(t.GetLongInFlight())}
+		}
+		s.Do(func(b *balancer.Balancer, now time.Time) { b.PeerDigest(now, d.GetName(), loads) })
+	}
+}
+
+func (m *Mesh) replyRecords(r *peerpb.RecordsRequest) *peerpb.Envelope {
+	records, complete := m.Records.Above(r.GetAbove())
+	wire := &peerpb.Records{Head: complete}
+	for _, rec := range records {
+		wire.Records = append(wire.Records, m.codec.ToWire(rec))
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Records{Records: wire}}
+}
+
+// replyAnswer waits for a request in flight here; another incarnation's requests are not known.
+func (m *Mesh) replyAnswer(ctx context.Context, r *peerpb.AnswerRequest) *peerpb.Envelope {
+	reply := &peerpb.Answer{}
+	if r.GetIncarnation() == m.Incarnation {
+		bounded, cancel := context.WithTimeout(ctx, answerWait)
+		defer cancel()
+		kept, known := m.Claims.Await(bounded, r.GetNonce())
+		reply.Known, reply.Kept = known, claimwire.KeptToWire(kept)
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Answer{Answer: reply}}
+}
+
+func (m *Mesh) replyWork(r *peerpb.WorkRequest) *peerpb.Envelope {
+	work := &peerpb.Work{Revision: m.Records.Complete()}
+	if r.GetTarget() == "" {
+		work.InFlight, work.Open = uint32(m.InFlight()), !m.Leaving()
+	} else if s, ok := m.Services.Get(r.GetService()); ok {
+		s.Do(func(b *balancer.Balancer, now time.Time) {
+			held, open := b.InFlight(now, r.GetTarget())
+			work.InFlight, work.Open = uint32(held), open
+		})
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Work{Work: work}}
+}
--- /dev/null
+++ b/entry/peerpb/doc.go
@@ -0,0 +1,2 @@
+// Package peerpb holds the generated wire types of peer.proto.
+package peerpb
--- /dev/null
+++ b/entry/prober/doc.go
@@ -0,0 +1,2 @@
+// Package prober asks targets for their load, within the budget that the core keeps.
+package prober
--- /dev/null
+++ b/entry/prober/prober.go
@@ -0,0 +1,135 @@
+package prober
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"poplarworks/core/balancer"
+	"poplarworks/entry/common"
+	"poplarworks/entry/dispatch"
+	"poplarworks/entry/target"
+)
+
+const (
+	interval     = 5 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
+	answerBytes  = 64 << 10
+)
+
+var errNoReport = errors.New("the probe's answer has no load report")
+
+type services interface {
+	All() map[string]*dispatch.Service
+}
+
+type targets interface {
+	Begin(ctx context.Context, address netip.AddrPort, r *http.Request, once bool) (*target.Exchange, bool, error)
+}
+
+// Prober probes the targets of all services; its exported fields are set before Run.
+type Prober struct {
+	*common.Common
+	Services services
+	Targets  targets
+}
+
+// Run probes until the context ends.
+func (p *Prober) Run(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, s := range p.Services.All() {
+			p.probeDue(ctx, s)
+			p.checkLeaving(ctx, s)
+		}
+	}
+}
+
+func (p *Prober) probeDue(ctx context.Context, s *dispatch.Service) {
+	if s.Record().ProbesPerEntry() == 0 {
+		return
+	}
+	var name string
+	var address netip.AddrPort
+	var due bool
+	s.Do(func(b *balancer.Balancer, now time.Time) { name, address, due = b.ProbeDue(now) })
+	if !due {
+		return
+	}
+	p.Counter("probes.sent").Inc(1)
+	go func() {
+		inFlight, draining, err := p.ask(ctx, s, address)
+		if err != nil {
+			p.Counter("probes.failed").Inc(1)
+			return
+		}
+		s.Do(func(b *balancer.Balancer, now time.Time) { b.Probed(now, name, inFlight, draining) })
+	}()
+}
+
+// checkLeaving looks at a target that is leaving: a new incarnation may have come up there.
+func (p *Prober) checkLeaving(ctx context.Context, s *dispatch.Service) {
+	var name string
+	var address netip.AddrPort
+	var probe, due bool
+	s.Do(func(b *balancer.Balancer, now time.Time) { name, address, probe, due = b.CheckDue(now) })
+	if !due {
+		return
+	}
+	go func() {
+		staying := false
+		reachable := reachable(ctx, address)
+		if reachable && probe {
+			_, draining, err := p.ask(ctx, s, address)
+			staying = err == nil && !draining
+		}
+		s.Do(func(b *balancer.Balancer, now time.Time) { b.Checked(now, name, reachable, staying) })
+	}()
+}
+
+func reachable(ctx context.Context, address netip.AddrPort) bool {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	socket, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return false
+	}
+	_ = socket.Close()
+	return true
+}
+
+func (p *Prober) ask(ctx context.Context, s *dispatch.Service, address netip.AddrPort) (inFlight int, draining bool, err error) {
+	record := s.Record()
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	exchange, _, err := p.Targets.Begin(bounded, address, &http.Request{
+		Method: http.MethodGet,
+		URL:    &url.URL{Scheme: "http", Host: address.String(), Path: record.ProbePath},
+		Host:   address.String(),
+		Header: http.Header{"User-Agent": {"poplar-entry"}},
+	}, false)
+	if err != nil {
+		return 0, false, err
+	}
+	defer exchange.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(exchange.Answer.Body, answerBytes)); err != nil {
+		return 0, false, err
+	}
+	inFlight, ok := target.ParseLoad(exchange.Answer.Header.Get(record.LoadHeader))
+	if !ok {
+		return 0, false, errNoReport
+	}
+	draining = record.DrainHeader != "" && exchange.Answer.Header.Get(record.DrainHeader) != ""
+	return inFlight, draining, nil
+}
--- /dev/null
+++ b/entry/refusal/doc.go
@@ -0,0 +1,2 @@
+// Package refusal writes the answers that the entry itself gives.
+package refusal
--- /dev/null
+++ b/entry/refusal/refusal.go
@@ -0,0 +1,54 @@
+package refusal
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"poplarworks/core/code"
+	"poplarworks/entry/relay"
+)
+
+// Refusal is an answer by the entry itself.
+type Refusal struct {
+	Code       code.Code
+	Run        code.Run
+	RetryAfter time.Duration
+	Detail     string // beyond the code's own text
+}
+
+type wireRefusal struct {
+	Code   int    `json:"code"`
+	Name   string `json:"name"`
+	Run    string `json:"run"`
+	Text   string `json:"text"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// Write answers the caller.
+func (r Refusal) Write(w http.ResponseWriter) {
+	entry := r.Code.Entry()
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(relay.CodeHeader, strconv.Itoa(int(r.Code)))
+	header.Set(relay.RunHeader, string(r.Run))
+	if r.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+		header.Set("Poplar-Retry-After-Ms", strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	}
+	w.WriteHeader(entry.Status)
+	_ = json.NewEncoder(w).Encode(wireRefusal{
+		Code:   int(r.Code),
+		Name:   entry.Name,
+		Run:    string(r.Run),
+		Text:   entry.Text,
+		Detail: r.Detail,
+	})
+}
+
+// NotRun returns a refusal of a request that no target has run.
+func NotRun(c code.Code) Refusal {
+	return Refusal{Code: c, Run: code.NotRun}
+}
--- /dev/null
+++ b/entry/settings/settings.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings is what an entry's settings file says; docs/CONFIGURATION.md explains each field.
+type Settings struct {
+	Name             string
+	DataCentre       string
+	LogLevel         string
+	AssertInvariants bool
+	Picker           string
+	OracleURL        string // stand-ins' control, for the oracle picker only
+	Choices          int    // targets that the power-of-d picker compares
+
+	CallerAddress      netip.AddrPort
+	CallerTLS          TLS
+	CallerHeader       string // header that identifies the caller, set by the platform's balancer
+	TrustedBalancers   []netip.Prefix
+	MaxConnections     int
+	MaxHeaderBytes     int
+	MaxBufferedBytes   int64
+	HeaderTimeout      time.Duration
+	BodyTimeout        time.Duration
+	IdleTimeout        time.Duration
+	AnswerWriteTimeout time.Duration
+
+	OperatorAddress netip.AddrPort
+	OperatorTLS     TLS
+	TokenFile       string
+
+	PeerAddress netip.AddrPort
+	PeerTLS     TLS
+
+	TableURL        string
+	ObjectsURL      string
+	VMsURL          string
+	PlatformTimeout time.Duration
+	PollInterval    time.Duration
+
+	DrainGrace   time.Duration
+	DrainTimeout time.Duration
+}
+
+// TLS names the files of a key pair, and of the authorities whose clients are admitted; all empty means no TLS.
+type TLS struct {
+	CertificateFile string
+	KeyFile         string
+	ClientCAFile    string
+}
+
+// Enabled reports whether TLS is on.
+func (t TLS) Enabled() bool {
+	return t.CertificateFile != ""
+}
+
+// Mutual reports whether clients must show a certificate.
+func (t TLS) Mutual() bool {
+	return t.ClientCAFile != ""
+}
--- /dev/null
+++ b/entry/table/doc.go
@@ -0,0 +1,2 @@
+// Package table speaks to the platform's transactional table service.
+package table
--- /dev/null
+++ b/entry/tlsfiles/doc.go
@@ -0,0 +1,2 @@
+// Package tlsfiles makes TLS configurations from files that are read again when they are replaced.
+package tlsfiles
--- /dev/null
+++ b/entry/vmlist/doc.go
@@ -0,0 +1,2 @@
+// Package vmlist reads the platform's lagging list of VMs.
+package vmlist
--- /dev/null
+++ b/standin/control/doc.go
@@ -0,0 +1,2 @@
+// Package control lets a test switch the faults of targets and read what they ran.
+package control
--- /dev/null
+++ b/standin/fault/doc.go
@@ -0,0 +1,2 @@
+// Package fault makes an HTTP handler slow, unavailable or forgetful of its answers.
+package fault
--- /dev/null
+++ b/standin/objects/store.go
@@ -0,0 +1,34 @@
+package objects
+
+import "sync"
+
+// Store is an object store that is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	objects map[string][]byte
+}
+
+// Put replaces an object.
+func (s *Store) Put(name string, body []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects == nil {
+		s.objects = map[string][]byte{}
+	}
+	s.objects[name] = body
+}
+
+// Get returns an object, and whether there is one.
+func (s *Store) Get(name string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	body, ok := s.objects[name]
+	return body, ok
+}
+
+// Delete removes an object.
+func (s *Store) Delete(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.objects, name)
+}
