--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	queueTarget    = 15 * time.Millisecond
+	queueTarget    = 0.25
 	queueInterval  = 100 * time.Millisecond
 	maxQueued      = 8192
 	retryInitial   = 3.0
--- a/core/balancer/target.go
+++ b/core/balancer/target.go
@@ -16,7 +16,6 @@
 	staleness       = 60 * time.Millisecond
 	slownessMemory  = 400 * time.Millisecond
 	slownessWeight  = 0.15
-	queueSlack      = 1.0 // requests that may wait at a target, over its slots
 	longShare       = 0.5 // share of a target's slots that long requests may hold
 	firstBackoff    = 100 * time.Millisecond
 	longestBackoff  = 2 * time.Second
@@ -74,7 +73,7 @@
 	t.ramp = s.Ramp
 	t.probes.PerWindow = s.ProbesPerEntry()
 	t.limit.Min = 1
-	t.limit.Max = math.Min(2*t.slots, float64(t.share))
+	t.limit.Max = math.Min(t.slots+1, float64(t.share))
 	t.limit.Initial = t.slots
 }
 
@@ -112,14 +111,11 @@
 
 func (t *target) fits(now time.Time, long bool) bool {
 	own := t.load.Own()
-	if float64(own)+1 > t.limit.Current() || own >= t.share {
+	limit := math.Max(1, t.limit.Current()*t.rampFraction(now))
+	if float64(own)+1 > limit || own >= t.share {
 		return false
 	}
-	if long && !t.fitsLong() {
-		return false
-	}
-	room := (t.slots + queueSlack) * t.rampFraction(now)
-	return own == 0 && t.load.At(now) < t.slots || t.load.At(now)+1 <= math.Max(1, room)
+	return !long || t.fitsLong()
 }
 
 func (t *target) fitsLong() bool {
@@ -129,7 +125,7 @@
 // cost is the expected time to an answer as a multiple of that of an idle, healthy target.
 func (t *target) cost(now time.Time) float64 {
 	held := t.load.At(now)
-	queued := math.Max(0, held+1-t.slots)
+	queued := held
 	busy := 1 + queued/t.slots + idleBias*held/t.slots
 	return busy * t.score.Ratio(now) / t.rampFraction(now)
 }
--- a/core/balancer/view.go
+++ b/core/balancer/view.go
@@ -14,21 +14,28 @@
 	tried []string
 }
 
+// Len returns the number of targets.
 func (v *view) Len() int { return len(v.b.targets) }
 
+// Open reports whether the target takes new work from this request.
 func (v *view) Open(i int) bool {
 	t := v.b.targets[i]
 	return t.open(v.now, v.panic) && !slices.Contains(v.tried, t.record.Name)
 }
 
+// Eligible reports whether the target is also below every limit.
 func (v *view) Eligible(i int) bool {
 	return v.Open(i) && v.b.targets[i].fits(v.now, v.long)
 }
 
+// Own returns this entry's requests in flight.
 func (v *view) Own(i int) int { return v.b.targets[i].load.Own() }
 
+// Cost returns the expected time to an answer.
 func (v *view) Cost(i int) float64 { return v.b.targets[i].cost(v.now) }
 
+// Name returns the name of the target.
 func (v *view) Name(i int) string { return v.b.targets[i].record.Name }
 
+// Now returns the time of the decision.
 func (v *view) Now() time.Time { return v.now }
--- a/core/claim/doc.go
+++ b/core/claim/doc.go
@@ -1,2 +1,2 @@
-// Package claim decides who may run a request that must run at most once.
+// Package claim holds a request that must run at most once to the order of its steps.
 package claim
--- a/core/claim/row.go
+++ b/core/claimrow/row.go
@@ -1,4 +1,4 @@
-package claim
+package claimrow
 
 import (
 	"bytes"
--- a/core/code/code.go
+++ b/core/code/code.go
@@ -1,7 +1,5 @@
 package code
 
-import "net/http"
-
 // Code is the number of a result, stable across versions.
 type Code int
 
@@ -49,6 +47,24 @@
 	WriteUnknown       Code = 5005
 )
 
+// HTTP statuses; the core does not import the HTTP library.
+const (
+	statusOK                  = 200
+	statusBadRequest          = 400
+	statusUnauthorized        = 401
+	statusNotFound            = 404
+	statusRequestTimeout      = 408
+	statusConflict            = 409
+	statusBodyTooLarge        = 413
+	statusUnprocessableEntity = 422
+	statusHeaderTooLarge      = 431
+	statusCallerGone          = 499
+	statusInternalServerError = 500
+	statusBadGateway          = 502
+	statusServiceUnavailable  = 503
+	statusGatewayTimeout      = 504
+)
+
 // Entry describes one code.
 type Entry struct {
 	Code   Code
@@ -60,36 +76,36 @@
 // Table lists every code with its HTTP status, in order.
 func Table() []Entry {
 	return []Entry{
-		{OK, "ok", http.StatusOK, "the target's own answer"},
-		{MalformedRequest, "malformed-request", http.StatusBadRequest, "the request breaks the protocol"},
-		{NoRule, "no-rule", http.StatusNotFound, "no rule matches the request"},
-		{HeadersTooLarge, "headers-too-large", http.StatusRequestHeaderFieldsTooLarge, "the header fields exceed the limit"},
-		{BodyTooLarge, "body-too-large", http.StatusRequestEntityTooLarge, "the body exceeds the rule's limit"},
-		{BodyTimeout, "body-timeout", http.StatusRequestTimeout, "the body did not arrive in time"},
-		{KeyMissing, "key-missing", http.StatusBadRequest, "the rule asks for an idempotency key"},
-		{KeyReused, "key-reused", http.StatusUnprocessableEntity, "the key belongs to another request"},
-		{KeyMalformed, "key-malformed", http.StatusBadRequest, "the idempotency key is empty, too long or not printable"},
-		{TooManyConnections, "too-many-connections", http.StatusServiceUnavailable, "the entry holds as many connections as its settings allow"},
-		{Overloaded, "overloaded", http.StatusServiceUnavailable, "the request cannot be served in time"},
-		{DeadlineTooShort, "deadline-too-short", http.StatusServiceUnavailable, "the deadline leaves less time than the service needs"},
-		{DeadlinePassed, "deadline-passed", http.StatusGatewayTimeout, "the deadline passed while the request waited"},
-		{NoTarget, "no-target", http.StatusServiceUnavailable, "no target takes new work"},
-		{Quarantined, "quarantined", http.StatusServiceUnavailable, "the same request has crashed targets"},
-		{Draining, "draining", http.StatusServiceUnavailable, "this entry is stopping"},
-		{NotReady, "not-ready", http.StatusServiceUnavailable, "this entry has no records yet"},
-		{StoreUnavailable, "store-unavailable", http.StatusServiceUnavailable, "the claim could not be written, and nothing was sent"},
-		{ClaimUnknown, "claim-unknown", http.StatusServiceUnavailable, "the claim's outcome is not known, and nothing was sent"},
-		{EarlierUnknown, "earlier-unknown", http.StatusConflict, "an earlier send of this key may have run"},
-		{AnswerNotKept, "answer-not-kept", http.StatusConflict, "this key ran, and its answer was not kept"},
-		{TargetBroke, "target-broke", http.StatusBadGateway, "the target's connection ended before its answer"},
-		{TargetTimeout, "target-timeout", http.StatusGatewayTimeout, "the target did not answer within the deadline"},
-		{TargetRefused, "target-refused", http.StatusServiceUnavailable, "every target tried said that it did not run the request"},
-		{CallerGone, "caller-gone", 499, "the caller left before the answer"},
-		{Unauthorised, "unauthorised", http.StatusUnauthorized, "the operator's token is missing or wrong"},
-		{BadRecord, "bad-record", http.StatusBadRequest, "the record is not valid"},
-		{RevisionConflict, "revision-conflict", http.StatusConflict, "another write came first"},
-		{NotFound, "not-found", http.StatusNotFound, "there is no such record or page"},
-		{WriteUnknown, "write-unknown", http.StatusServiceUnavailable, "the write's outcome could not be settled"},
+		{OK, "ok", statusOK, "the target's own answer"},
+		{MalformedRequest, "malformed-request", statusBadRequest, "the request breaks the protocol"},
+		{NoRule, "no-rule", statusNotFound, "no rule matches the request"},
+		{HeadersTooLarge, "headers-too-large", statusHeaderTooLarge, "the header fields exceed the limit"},
+		{BodyTooLarge, "body-too-large", statusBodyTooLarge, "the body exceeds the rule's limit"},
+		{BodyTimeout, "body-timeout", statusRequestTimeout, "the body did not arrive in time"},
+		{KeyMissing, "key-missing", statusBadRequest, "the rule asks for an idempotency key"},
+		{KeyReused, "key-reused", statusUnprocessableEntity, "the key belongs to another request"},
+		{KeyMalformed, "key-malformed", statusBadRequest, "the idempotency key is empty, too long or not printable"},
+		{TooManyConnections, "too-many-connections", statusServiceUnavailable, "the entry holds as many connections as its settings allow"},
+		{Overloaded, "overloaded", statusServiceUnavailable, "the request cannot be served in time"},
+		{DeadlineTooShort, "deadline-too-short", statusServiceUnavailable, "the deadline leaves less time than the service needs"},
+		{DeadlinePassed, "deadline-passed", statusGatewayTimeout, "the deadline passed while the request waited"},
+		{NoTarget, "no-target", statusServiceUnavailable, "no target takes new work"},
+		{Quarantined, "quarantined", statusServiceUnavailable, "the same request has crashed targets"},
+		{Draining, "draining", statusServiceUnavailable, "this entry is stopping"},
+		{NotReady, "not-ready", statusServiceUnavailable, "this entry has no records yet"},
+		{StoreUnavailable, "store-unavailable", statusServiceUnavailable, "the claim could not be written, and nothing was sent"},
+		{ClaimUnknown, "claim-unknown", statusServiceUnavailable, "the claim's outcome is not known, and nothing was sent"},
+		{EarlierUnknown, "earlier-unknown", statusConflict, "an earlier send of this key may have run"},
+		{AnswerNotKept, "answer-not-kept", statusConflict, "this key ran, and its answer was not kept"},
+		{TargetBroke, "target-broke", statusBadGateway, "the target's connection ended before its answer"},
+		{TargetTimeout, "target-timeout", statusGatewayTimeout, "the target did not answer within the deadline"},
+		{TargetRefused, "target-refused", statusServiceUnavailable, "every target tried said that it did not run the request"},
+		{CallerGone, "caller-gone", statusCallerGone, "the caller left before the answer"},
+		{Unauthorised, "unauthorised", statusUnauthorized, "the operator's token is missing or wrong"},
+		{BadRecord, "bad-record", statusBadRequest, "the record is not valid"},
+		{RevisionConflict, "revision-conflict", statusConflict, "another write came first"},
+		{NotFound, "not-found", statusNotFound, "there is no such record or page"},
+		{WriteUnknown, "write-unknown", statusServiceUnavailable, "the write's outcome could not be settled"},
 	}
 }
 
@@ -100,5 +116,5 @@
 			return e
 		}
 	}
-	return Entry{Code: c, Name: "unnamed", Status: http.StatusInternalServerError}
+	return Entry{Code: c, Name: "unnamed", Status: statusInternalServerError}
 }
--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -25,8 +25,8 @@
 // Queue serves higher priorities first, flows in turn, and within a flow the oldest first or, while a queue stands, the
 // newest first.
 type Queue struct {
-	Target   time.Duration // wait that is tolerated
-	Interval time.Duration // a wait above the target for this long means that the queue stands
+	Target   float64       // share of its time to the deadline that an item may wait
+	Interval time.Duration // longer waits for this long mean that the queue stands
 
 	levels   [levels]level
 	length   int
@@ -123,7 +123,7 @@
 
 // observe notes whether the longest wait stays above the target.
 func (q *Queue) observe(now time.Time) {
-	if now.Sub(q.oldest(now)) <= q.Target {
+	if !q.overdue(now) {
 		q.aboveAt, q.standing = time.Time{}, false
 		return
 	}
@@ -133,16 +133,16 @@
 	q.standing = now.Sub(q.aboveAt) >= q.Interval
 }
 
-func (q *Queue) oldest(now time.Time) time.Time {
-	oldest := now
+func (q *Queue) overdue(now time.Time) bool {
 	for p := range q.levels {
 		for _, f := range q.levels[p].flows {
-			if f.items[0].Arrived.Before(oldest) {
-				oldest = f.items[0].Arrived
+			first := f.items[0]
+			if float64(now.Sub(first.Arrived)) > q.Target*float64(first.Deadline.Sub(first.Arrived)) {
+				return true
 			}
 		}
 	}
-	return oldest
+	return false
 }
 
 // Standing reports whether the queue serves the newest first.
--- a/core/load/estimate.go
+++ b/core/load/estimate.go
@@ -5,15 +5,17 @@
 	"time"
 )
 
-// slowWeight is the weight of each report in the long-run mean.
-const slowWeight = 0.05
+const (
+	fastWeight = 0.05 // weight of each report in the recent mean
+	slowWeight = 0.02 // and in the long-run mean, which is what is left once reports are stale
+)
 
 // Estimate follows one target; the zero value with Staleness set is ready for use.
 type Estimate struct {
 	Staleness time.Duration // age at which a report has lost most of its weight
 
 	own      int
-	others   float64 // requests of other entries, by the newest report
+	others   float64 // recent mean of the requests of other entries
 	othersAt time.Time
 	mean     float64 // long-run mean of others
 	reported bool
@@ -36,13 +38,16 @@
 
 // Report takes the number of requests that the target says it holds.
 func (e *Estimate) Report(now time.Time, inFlight int) {
-	e.others = math.Max(0, float64(inFlight-e.own))
+	// Differences are kept with their sign: a report is older than the own count, and cutting negative ones off would
+	// make the mean too high.
+	others := float64(inFlight - e.own)
 	e.othersAt = now
 	if !e.reported {
-		e.mean, e.reported = e.others, true
+		e.others, e.mean, e.reported = others, others, true
 		return
 	}
-	e.mean += slowWeight * (e.others - e.mean)
+	e.others += fastWeight * (others - e.others)
+	e.mean += slowWeight * (others - e.mean)
 }
 
 // At returns the requests that the target probably holds now.
@@ -51,7 +56,7 @@
 		return float64(e.own)
 	}
 	weight := math.Exp(-float64(now.Sub(e.othersAt)) / float64(e.Staleness))
-	return float64(e.own) + weight*e.others + (1-weight)*e.mean
+	return float64(e.own) + math.Max(0, weight*e.others+(1-weight)*e.mean)
 }
 
 // Age returns how old the newest report is, or a day when there is none.
--- /dev/null
+++ b/core/memberlife/doc.go
@@ -0,0 +1,2 @@
+// Package memberlife is the state machine of another entry as this one sees it.
+package memberlife
--- a/core/membership/members.go
+++ b/core/membership/members.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"poplarworks/core/memberlife"
 )
 
 const (
@@ -27,7 +29,7 @@
 	Name        string
 	Peer        netip.AddrPort
 	DataCentre  string
-	State       State
+	State       memberlife.State
 	Incarnation uint64
 	Revision    uint64
 	Leaving     bool
@@ -36,7 +38,7 @@
 
 	sequence  uint64
 	addedAt   time.Time
-	lifecycle *lifecycle
+	lifecycle *memberlife.Machine
 }
 
 // Members holds the entries other than this one; it is not safe for concurrent use.
@@ -66,7 +68,7 @@
 	}
 	held, ok := m.members[name]
 	if !ok {
-		held = &Member{Name: name, addedAt: now, lifecycle: newLifecycle()}
+		held = &Member{Name: name, addedAt: now, lifecycle: memberlife.New()}
 		m.members[name] = held
 	}
 	return held
@@ -86,7 +88,7 @@
 	}
 	held.Incarnation, held.sequence = h.Incarnation, h.Sequence
 	held.Revision, held.Leaving, held.HeardAt = h.Revision, h.Leaving, now
-	held.lifecycle.fire(triggerHear)
+	held.lifecycle.Hear()
 	return true
 }
 
@@ -99,10 +101,10 @@
 		}
 		silence := now.Sub(since)
 		if silence >= suspectAfter {
-			held.lifecycle.fire(triggerMiss)
+			held.lifecycle.Miss()
 		}
 		if silence >= deadAfter {
-			held.lifecycle.fire(triggerExpire)
+			held.lifecycle.Expire()
 		}
 		if silence >= forgetAfter && !held.Listed {
 			delete(m.members, name)
@@ -115,7 +117,7 @@
 	all := make([]Member, 0, len(m.members))
 	for _, held := range m.members {
 		seen := *held
-		seen.State = held.lifecycle.state
+		seen.State = held.lifecycle.State()
 		all = append(all, seen)
 	}
 	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -26,12 +26,12 @@
 }
 
 // Crash counts a crash of the target; it reports whether this was news.
-func (l *List) Crash(now time.Time, print Fingerprint, target string) bool {
+func (l *List) Crash(now time.Time, fingerprint Fingerprint, target string) bool {
 	l.forget(now)
 	if l.crashes == nil {
 		l.crashes = map[Fingerprint]history{}
 	}
-	held, ok := l.crashes[print]
+	held, ok := l.crashes[fingerprint]
 	if !ok && len(l.crashes) >= l.Capacity {
 		l.evict()
 	}
@@ -40,7 +40,7 @@
 	}
 	held.targets = append(held.targets, target)
 	held.last = now
-	l.crashes[print] = held
+	l.crashes[fingerprint] = held
 	return true
 }
 
@@ -50,15 +50,15 @@
 }
 
 // Forgive forgets the crashes of a fingerprint that a target has answered, since the request cannot be their cause.
-func (l *List) Forgive(now time.Time, print Fingerprint) {
-	if _, blocked := l.Blocked(now, print); !blocked {
-		delete(l.crashes, print)
+func (l *List) Forgive(now time.Time, fingerprint Fingerprint) {
+	if _, blocked := l.Blocked(now, fingerprint); !blocked {
+		delete(l.crashes, fingerprint)
 	}
 }
 
 // Blocked reports whether the fingerprint is in quarantine, and until when.
-func (l *List) Blocked(now time.Time, print Fingerprint) (time.Time, bool) {
-	held, ok := l.crashes[print]
+func (l *List) Blocked(now time.Time, fingerprint Fingerprint) (time.Time, bool) {
+	held, ok := l.crashes[fingerprint]
 	if !ok || len(held.targets) < l.Threshold {
 		return time.Time{}, false
 	}
@@ -67,8 +67,8 @@
 }
 
 // Suspect reports whether the fingerprint has crashed a target within the period.
-func (l *List) Suspect(now time.Time, print Fingerprint) bool {
-	held, ok := l.crashes[print]
+func (l *List) Suspect(now time.Time, fingerprint Fingerprint) bool {
+	held, ok := l.crashes[fingerprint]
 	return ok && now.Before(held.last.Add(l.Period))
 }
 
@@ -78,9 +78,9 @@
 }
 
 func (l *List) forget(now time.Time) {
-	for print, held := range l.crashes {
+	for fingerprint, held := range l.crashes {
 		if !now.Before(held.last.Add(l.Period)) {
-			delete(l.crashes, print)
+			delete(l.crashes, fingerprint)
 		}
 	}
 }
@@ -88,9 +88,9 @@
 func (l *List) evict() {
 	var oldest Fingerprint
 	var at time.Time
-	for print, held := range l.crashes {
+	for fingerprint, held := range l.crashes {
 		if at.IsZero() || held.last.Before(at) {
-			oldest, at = print, held.last
+			oldest, at = fingerprint, held.last
 		}
 	}
 	delete(l.crashes, oldest)
--- a/entry/claims/committer.go
+++ b/entry/claims/committer.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"poplarworks/core/claim"
+	"poplarworks/core/claimrow"
 	"poplarworks/entry/claimwire"
 	"poplarworks/entry/common"
 	"poplarworks/entry/store"
@@ -37,14 +37,14 @@
 	ctx     context.Context
 	key     string
 	version uint64 // that the row must have; zero when it must be absent
-	row     claim.Row
+	row     claimrow.Row
 	result  chan written
 	doubt   bool // an earlier try may have taken effect
 }
 
 // written is the outcome of a write; met is the row that was there instead.
 type written struct {
-	met     *claim.Row
+	met     *claimrow.Row
 	version uint64 // of the row met
 	err     error
 }
@@ -216,7 +216,7 @@
 // judge tells a row of this very write, whose answer was lost, from another's.
 func (c *committer) judge(w *write, row table.Row) written {
 	if row.Version == 0 {
-		return written{met: &claim.Row{}, version: 0}
+		return written{met: &claimrow.Row{}, version: 0}
 	}
 	held, err := c.codec.Unmarshal(row.Value)
 	if err != nil {
--- a/entry/claims/keeper.go
+++ b/entry/claims/keeper.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"poplarworks/core/answer"
-	"poplarworks/core/claim"
+	"poplarworks/core/claimrow"
 	"poplarworks/core/code"
 	"poplarworks/entry/claimwire"
 	"poplarworks/entry/common"
@@ -43,7 +43,7 @@
 	Table   tableStore
 	Objects objectStore
 	// Ask asks the entry that holds a claim for the answer; known is false when it cannot tell.
-	Ask func(ctx context.Context, row claim.Row, key string) (kept *answer.Answer, known bool)
+	Ask func(ctx context.Context, row claimrow.Row, key string) (kept *answer.Answer, known bool)
 
 	codec     claimwire.Codec
 	committer *committer
@@ -73,7 +73,7 @@
 func (k *Keeper) Claim(ctx context.Context, t *Ticket) Result {
 	now := k.Now()
 	t.Row.Entry, t.Row.Incarnation = k.Settings.Name, k.Incarnation
-	t.Row.State, t.Row.Created, t.Row.Expires = claim.Claimed, now, now.Add(t.Retention)
+	t.Row.State, t.Row.Created, t.Row.Expires = claimrow.Claimed, now, now.Add(t.Retention)
 	version := uint64(0)
 	for {
 		t.Machine.Write()
@@ -122,20 +122,20 @@
 }
 
 // follow reads another send's row; retake is true when that send did not run and its row may be replaced.
-func (k *Keeper) follow(ctx context.Context, t *Ticket, row claim.Row) (result Result, retake bool) {
+func (k *Keeper) follow(ctx context.Context, t *Ticket, row claimrow.Row) (result Result, retake bool) {
 	for {
-		switch claim.Judge(row, t.Row.Fingerprint, t.Row.Nonce) {
-		case claim.Retake, claim.Mine:
+		switch claimrow.Judge(row, t.Row.Fingerprint, t.Row.Nonce) {
+		case claimrow.Retake, claimrow.Mine:
 			return Result{}, true
-		case claim.Replay:
+		case claimrow.Replay:
 			return Result{Answer: row.Answer}, false
-		case claim.Fetch:
+		case claimrow.Fetch:
 			return k.fetch(ctx, row), false
-		case claim.Lost:
+		case claimrow.Lost:
 			return refused(code.AnswerNotKept, code.Ran), false
-		case claim.Reused:
+		case claimrow.Reused:
 			return refused(code.KeyReused, code.NotRun), false
-		case claim.Ask:
+		case claimrow.Ask:
 		}
 		kept, known := k.ask(ctx, row, t.Key)
 		if known && kept != nil {
@@ -149,7 +149,7 @@
 	}
 }
 
-func (k *Keeper) ask(ctx context.Context, row claim.Row, key string) (*answer.Answer, bool) {
+func (k *Keeper) ask(ctx context.Context, row claimrow.Row, key string) (*answer.Answer, bool) {
 	if row.Entry == k.Settings.Name && row.Incarnation == k.Incarnation {
 		return k.Await(ctx, row.Nonce)
 	}
@@ -157,7 +157,7 @@
 }
 
 // reread looks once more at a row whose holder could not tell; the outcome may have been written meanwhile.
-func (k *Keeper) reread(ctx context.Context, row claim.Row, key string) (claim.Row, bool) {
+func (k *Keeper) reread(ctx context.Context, row claimrow.Row, key string) (claimrow.Row, bool) {
 	timer := time.NewTimer(askAgain)
 	defer timer.Stop()
 	select {
@@ -176,7 +176,7 @@
 	return next, next.State != row.State || next.Nonce != row.Nonce
 }
 
-func (k *Keeper) fetch(ctx context.Context, row claim.Row) Result {
+func (k *Keeper) fetch(ctx context.Context, row claimrow.Row) Result {
 	data, err := k.Objects.Get(ctx, row.Object)
 	if err != nil {
 		return refused(code.AnswerNotKept, code.Ran)
--- a/entry/claims/keys.go
+++ b/entry/claims/keys.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"poplarworks/core/claim"
+	"poplarworks/core/claimrow"
 )
 
 const (
@@ -16,7 +16,7 @@
 )
 
 // expiryKey names the row by which the clean-up finds a claim; its keys sort by the hour of expiry.
-func expiryKey(row claim.Row, key string) string {
+func expiryKey(row claimrow.Row, key string) string {
 	return fmt.Sprintf("%s%010d/%s", expiryPrefix, row.Expires.Unix()/3600, strings.TrimPrefix(key, claimPrefix))
 }
 
--- a/entry/claims/settle.go
+++ b/entry/claims/settle.go
@@ -9,6 +9,7 @@
 
 	"poplarworks/core/answer"
 	"poplarworks/core/claim"
+	"poplarworks/core/claimrow"
 	"poplarworks/entry/store"
 )
 
@@ -36,7 +37,7 @@
 func (k *Keeper) complete(t *Ticket) {
 	defer k.forget(t)
 	row := t.Row
-	row.State = claim.Done
+	row.State = claimrow.Done
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	if t.kept != nil && len(t.kept.Body) <= inlineBytes {
@@ -75,14 +76,14 @@
 // the row is then either ours to change or absent, and in both cases ends as released.
 func (k *Keeper) release(t *Ticket) {
 	row := t.Row
-	row.State = claim.Released
+	row.State = claimrow.Released
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	k.replace(ctx, t, row)
 }
 
 // replace writes the outcome over the ticket's own row, and over no other.
-func (k *Keeper) replace(ctx context.Context, t *Ticket, row claim.Row) {
+func (k *Keeper) replace(ctx context.Context, t *Ticket, row claimrow.Row) {
 	for ctx.Err() == nil {
 		done, err := k.tryReplace(ctx, t, row)
 		if done {
@@ -96,7 +97,7 @@
 	k.Log("claims").WithField("claim", t.Key).Error("An outcome was not written in time.")
 }
 
-func (k *Keeper) tryReplace(ctx context.Context, t *Ticket, row claim.Row) (bool, error) {
+func (k *Keeper) tryReplace(ctx context.Context, t *Ticket, row claimrow.Row) (bool, error) {
 	rows, err := k.Table.Get(ctx, t.Key)
 	if err != nil {
 		return false, err
--- a/entry/claims/ticket.go
+++ b/entry/claims/ticket.go
@@ -8,6 +8,7 @@
 
 	"poplarworks/core/answer"
 	"poplarworks/core/claim"
+	"poplarworks/core/claimrow"
 	"poplarworks/core/code"
 	"poplarworks/core/invariant"
 )
@@ -15,7 +16,7 @@
 // Ticket is one request that runs under a claim.
 type Ticket struct {
 	Key       string // of the row
-	Row       claim.Row
+	Row       claimrow.Row
 	Machine   claim.Machine
 	Retention time.Duration
 
@@ -36,7 +37,7 @@
 	hash := sha256.Sum256([]byte(service + "\x00" + caller + "\x00" + key))
 	return &Ticket{
 		Key:       claimPrefix + hex.EncodeToString(hash[:]),
-		Row:       claim.Row{Nonce: rand.Text(), Fingerprint: fingerprint},
+		Row:       claimrow.Row{Nonce: rand.Text(), Fingerprint: fingerprint},
 		Machine:   claim.Machine{Check: check},
 		Retention: retention,
 		done:      make(chan struct{}),
--- a/entry/claimwire/codec.go
+++ b/entry/claimwire/codec.go
@@ -7,7 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"poplarworks/core/answer"
-	"poplarworks/core/claim"
+	"poplarworks/core/claimrow"
 	"poplarworks/entry/peerpb"
 )
 
@@ -15,7 +15,7 @@
 type Codec struct{}
 
 // Marshal returns the bytes of a row.
-func (Codec) Marshal(row claim.Row) ([]byte, error) {
+func (Codec) Marshal(row claimrow.Row) ([]byte, error) {
 	return proto.Marshal(&peerpb.Claim{
 		Entry:         row.Entry,
 		Incarnation:   row.Incarnation,
@@ -30,18 +30,18 @@
 }
 
 // Unmarshal reads the bytes of a row.
-func (Codec) Unmarshal(data []byte) (claim.Row, error) {
+func (Codec) Unmarshal(data []byte) (claimrow.Row, error) {
 	wire := &peerpb.Claim{}
 	if err := proto.Unmarshal(data, wire); err != nil {
-		return claim.Row{}, err
+		return claimrow.Row{}, err
 	}
-	state := claim.State(wire.GetState())
+	state := claimrow.State(wire.GetState())
 	switch state {
-	case claim.Claimed, claim.Done, claim.Released:
+	case claimrow.Claimed, claimrow.Done, claimrow.Released:
 	default:
-		return claim.Row{}, errors.Newf("claim of unknown state %q", state)
+		return claimrow.Row{}, errors.Newf("claim of unknown state %q", state)
 	}
-	return claim.Row{
+	return claimrow.Row{
 		Entry:       wire.GetEntry(),
 		Incarnation: wire.GetIncarnation(),
 		Nonce:       wire.GetNonce(),
--- a/entry/crashes/keeper.go
+++ b/entry/crashes/keeper.go
@@ -17,7 +17,7 @@
 // Keeper holds the quarantine; its exported fields are set before use.
 type Keeper struct {
 	*common.Common
-	Tell func(print quarantine.Fingerprint, target string) // tells the peers of a crash
+	Tell func(fingerprint quarantine.Fingerprint, target string) // tells the peers of a crash
 
 	mu   sync.Mutex
 	list quarantine.List
@@ -29,41 +29,41 @@
 }
 
 // Crash counts a crash that this entry has seen, and tells the peers.
-func (k *Keeper) Crash(print quarantine.Fingerprint, target string) {
-	if !k.Heard(print, target) {
+func (k *Keeper) Crash(fingerprint quarantine.Fingerprint, target string) {
+	if !k.Heard(fingerprint, target) {
 		return
 	}
 	k.Log("crashes").WithField("target", target).Warn("A target broke off without an answer.")
-	k.Tell(print, target)
+	k.Tell(fingerprint, target)
 }
 
 // Heard counts a crash that a peer has seen, and reports whether it was news.
-func (k *Keeper) Heard(print quarantine.Fingerprint, target string) bool {
+func (k *Keeper) Heard(fingerprint quarantine.Fingerprint, target string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.list.Crash(k.Now(), print, target)
+	return k.list.Crash(k.Now(), fingerprint, target)
 }
 
 // Blocked reports whether the request is in quarantine, and until when.
-func (k *Keeper) Blocked(now time.Time, print quarantine.Fingerprint) (time.Time, bool) {
+func (k *Keeper) Blocked(now time.Time, fingerprint quarantine.Fingerprint) (time.Time, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.list.Blocked(now, print)
+	return k.list.Blocked(now, fingerprint)
 }
 
 // Suspect reports whether the request has crashed a target lately.
-func (k *Keeper) Suspect(now time.Time, print quarantine.Fingerprint) bool {
+func (k *Keeper) Suspect(now time.Time, fingerprint quarantine.Fingerprint) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.list.Suspect(now, print)
+	return k.list.Suspect(now, fingerprint)
 }
 
 // Forgive clears a request that a target has answered.
-func (k *Keeper) Forgive(print quarantine.Fingerprint) {
+func (k *Keeper) Forgive(fingerprint quarantine.Fingerprint) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.list.Size() > 0 {
-		k.list.Forgive(k.Now(), print)
+		k.list.Forgive(k.Now(), fingerprint)
 	}
 }
 
--- a/entry/dump/alarms.go
+++ b/entry/dump/alarms.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"poplarworks/core/entrystate"
-	"poplarworks/core/membership"
+	"poplarworks/core/memberlife"
 )
 
 const manyBuffered = 0.9 // share of the quota for held bodies above which new ones are about to be refused
@@ -26,7 +26,7 @@
 		add("buffers-full: held bodies take nearly all of max-buffered-bytes")
 	}
 	for _, m := range d.Members() {
-		if m.Listed && m.State != membership.Alive {
+		if m.Listed && m.State != memberlife.Alive {
 			add("peer-silent: %s is listed and %s", m.Name, m.State)
 		}
 	}
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -39,10 +39,10 @@
 }
 
 type crashes interface {
-	Blocked(now time.Time, print quarantine.Fingerprint) (time.Time, bool)
-	Suspect(now time.Time, print quarantine.Fingerprint) bool
-	Crash(print quarantine.Fingerprint, target string)
-	Forgive(print quarantine.Fingerprint)
+	Blocked(now time.Time, fingerprint quarantine.Fingerprint) (time.Time, bool)
+	Suspect(now time.Time, fingerprint quarantine.Fingerprint) bool
+	Crash(fingerprint quarantine.Fingerprint, target string)
+	Forgive(fingerprint quarantine.Fingerprint)
 }
 
 // Handler serves callers; its exported fields are set before use.
--- a/entry/operator/stops.go
+++ b/entry/operator/stops.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"poplarworks/core/code"
+	"poplarworks/core/memberlife"
 	"poplarworks/core/membership"
 	"poplarworks/core/record"
 	"poplarworks/core/stop"
@@ -112,5 +113,5 @@
 	if planned.Entry != "" {
 		return m.Name == planned.Entry
 	}
-	return m.Listed || m.State != membership.Dead
+	return m.Listed || m.State != memberlife.Dead
 }
--- a/entry/peer/mesh.go
+++ b/entry/peer/mesh.go
@@ -9,6 +9,7 @@
 	"poplarworks/core/balancer"
 	"poplarworks/core/catalog"
 	"poplarworks/core/digest"
+	"poplarworks/core/memberlife"
 	"poplarworks/core/membership"
 	"poplarworks/core/quarantine"
 	"poplarworks/core/record"
@@ -51,7 +52,7 @@
 }
 
 type crashKeeper interface {
-	Heard(print quarantine.Fingerprint, target string) bool
+	Heard(fingerprint quarantine.Fingerprint, target string) bool
 }
 
 type services interface {
@@ -134,7 +135,7 @@
 	m.members.SetList(now, listed)
 	wanted := map[string]bool{}
 	for _, member := range m.members.All() {
-		if !member.Peer.IsValid() || !member.Listed && member.State == membership.Dead {
+		if !member.Peer.IsValid() || !member.Listed && member.State == memberlife.Dead {
 			continue
 		}
 		wanted[member.Name] = true
@@ -210,8 +211,8 @@
 }
 
 // TellCrash tells all peers of a request that crashed a target.
-func (m *Mesh) TellCrash(print quarantine.Fingerprint, target string) {
-	m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Crash{Crash: &peerpb.Crash{Fingerprint: print[:], Target: target}}})
+func (m *Mesh) TellCrash(fingerprint quarantine.Fingerprint, target string) {
+	m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Crash{Crash: &peerpb.Crash{Fingerprint: fingerprint[:], Target: target}}})
 }
 
 // sendDigests tells the peers of own requests in flight: at once when long ones change, and else now and then.
--- a/entry/peer/questions.go
+++ b/entry/peer/questions.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"poplarworks/core/answer"
-	"poplarworks/core/claim"
+	"poplarworks/core/claimrow"
 	"poplarworks/entry/claimwire"
 	"poplarworks/entry/peerpb"
 )
@@ -34,7 +34,7 @@
 }
 
 // AskAnswer asks the holder of a claim for its answer, and waits for it; known is false when the holder cannot tell.
-func (m *Mesh) AskAnswer(ctx context.Context, row claim.Row, key string) (kept *answer.Answer, known bool) {
+func (m *Mesh) AskAnswer(ctx context.Context, row claimrow.Row, key string) (kept *answer.Answer, known bool) {
 	reply, err := m.ask(ctx, row.Entry, &peerpb.Envelope{Body: &peerpb.Envelope_AnswerRequest{AnswerRequest: &peerpb.AnswerRequest{
 		Claim:       key,
 		Incarnation: row.Incarnation,
--- /dev/null
+++ b/measure/app/app.go
@@ -0,0 +1,21 @@
+package app
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"poplarworks/measure/tail"
+)
+
+// Run reads the arguments and runs one experiment.
+func Run(args []string) error {
+	root := &cli.Command{
+		Name:  "measure",
+		Usage: "run the experiments that docs/MEASUREMENTS.md reports",
+		Commands: []*cli.Command{
+			tail.Command(),
+		},
+	}
+	return root.Run(context.Background(), args)
+}
--- /dev/null
+++ b/measure/app/doc.go
@@ -0,0 +1,2 @@
+// Package app is the command line of the experiments.
+package app
--- /dev/null
+++ b/measure/doc.go
@@ -0,0 +1,2 @@
+// Command measure runs the experiments that docs/MEASUREMENTS.md reports; it is the one program that starts others.
+package main
--- /dev/null
+++ b/measure/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet starts a platform, targets and entries as processes on loopback addresses of their own, and drives them.
+package fleet
--- /dev/null
+++ b/measure/fleet/targets.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"poplarworks/measure/proc"
+)
+
+const firstGroupHost = 100
+
+// Targets is the process that serves the targets of one group.
+type Targets struct {
+	Group Group
+
+	fleet   *Fleet
+	host    int
+	process *proc.Process
+}
+
+func newTargets(f *Fleet, i int, g Group) *Targets {
+	t := &Targets{Group: withDefaults(g), fleet: f, host: firstGroupHost + i}
+	g = t.Group
+	t.process = f.process("targets-"+g.Name, "poplar-standin", "targets",
+		"--prefix", g.Name,
+		"--first-address", f.address(t.host, targetPort).String(),
+		"--control-address", f.address(t.host, controlPort).String(),
+		"--count", strconv.Itoa(g.Count),
+		"--slots", strconv.Itoa(g.Slots),
+		"--connections", strconv.Itoa(g.Connections),
+		"--queue", strconv.Itoa(g.Queue),
+		"--work", g.Work.String(),
+		"--connect-cost", g.ConnectCost.String(),
+		"--probe-cost", g.ProbeCost.String(),
+		"--report-lag", g.ReportLag.String(),
+		"--restart-after", g.Restart.String(),
+		"--cold-for", g.ColdFor.String(),
+		"--cold-factor", strconv.FormatFloat(g.ColdFactor, 'f', -1, 64),
+		"--noise-quiet", g.NoiseQuiet.String(),
+		"--noise-noisy", g.NoiseNoisy.String(),
+		"--noise-factor", strconv.FormatFloat(g.NoiseFactor, 'f', -1, 64),
+		"--seed", strconv.FormatUint(g.Seed, 10),
+	)
+	return t
+}
+
+func withDefaults(g Group) Group {
+	if g.Slots == 0 {
+		g.Slots = 3
+	}
+	if g.Connections == 0 {
+		g.Connections = 220
+	}
+	if g.Queue == 0 {
+		g.Queue = 50
+	}
+	if g.Work == 0 {
+		g.Work = 2 * time.Millisecond
+	}
+	if g.ProbeCost == 0 {
+		g.ProbeCost = time.Millisecond
+	}
+	if g.Restart == 0 {
+		g.Restart = 500 * time.Millisecond
+	}
+	if g.ColdFactor == 0 {
+		g.ColdFactor = 1
+	}
+	if g.NoiseFactor == 0 {
+		g.NoiseFactor = 4
+	}
+	if g.Seed == 0 {
+		g.Seed = 1
+	}
+	return g
+}
+
+// Address returns the address of a target, counted from zero.
+func (t *Targets) Address(i int) netip.AddrPort {
+	return t.fleet.address(t.host, targetPort+i)
+}
+
+// TargetName returns the name of a target, counted from zero.
+func (t *Targets) TargetName(i int) string {
+	return fmt.Sprintf("%s-%d", t.Group.Name, i+1)
+}
+
+func (t *Targets) controlURL() string {
+	return "http://" + t.fleet.address(t.host, controlPort).String()
+}
+
+// Service returns a service record of schema 2 for the group; extra holds further fields.
+func (t *Targets) Service(extra string) string {
+	var targets []string
+	for i := range t.Group.Count {
+		targets = append(targets, fmt.Sprintf(`{"name": %q, "address": %q}`, t.TargetName(i), t.Address(i)))
+	}
+	if extra == "" {
+		extra = fmt.Sprintf(`"capacity": {"slots": %d, "connections": %d, "max-entries": %d}`,
+			t.Group.Slots, t.Group.Connections, max(1, t.fleet.Plan.Entries))
+	}
+	return fmt.Sprintf(`{"schema": 2, "kind": "service", "name": %q, "targets": [%s], %s,
+		"load-header": "Endpoint-Load-Metrics", "drain-header": "Target-Draining"}`,
+		t.Group.Name, strings.Join(targets, ", "), extra)
+}
+
+// Faults says what is wrong with a target.
+type Faults struct {
+	SlowFactor float64 `json:"slow-factor"`
+	FailFast   bool    `json:"fail-fast"`
+	Shed       bool    `json:"shed"`
+	Drain      bool    `json:"drain"`
+	Lie        bool    `json:"lie"`
+	Hang       bool    `json:"hang"`
+}
+
+// SetFaults sets the faults of a target, counted from zero.
+func (t *Targets) SetFaults(i int, faults Faults) error {
+	return t.fleet.sendJSON(http.MethodPut, t.controlURL()+"/targets/"+t.TargetName(i)+"/faults", faults)
+}
+
+// Crash ends a target's connections; it comes back after the group's restart time.
+func (t *Targets) Crash(i int) error {
+	return t.fleet.sendJSON(http.MethodPost, t.controlURL()+"/targets/"+t.TargetName(i)+"/crash", nil)
+}
+
+// Execution is one run of one request at one target.
+type Execution struct {
+	Target   string    `json:"target"`
+	Key      string    `json:"key"`
+	Token    string    `json:"token"`
+	Method   string    `json:"method"`
+	Started  time.Time `json:"started"`
+	Finished time.Time `json:"finished"`
+	Whole    bool      `json:"whole"`
+	Drained  bool      `json:"drained"`
+}
+
+// Executions returns what the group's targets ran.
+func (t *Targets) Executions() ([]Execution, error) {
+	var list []Execution
+	err := t.fleet.getJSON(t.controlURL()+"/executions", &list)
+	return list, err
+}
+
+// Runs returns how often each idempotency key ran.
+func (t *Targets) Runs() (map[string]int, error) {
+	var runs map[string]int
+	err := t.fleet.getJSON(t.controlURL()+"/runs", &runs)
+	return runs, err
+}
+
+// Peaks returns, for each target, the most probes that it saw within one second.
+func (t *Targets) Peaks() (map[string]int, error) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, t.controlURL()+"/peaks", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := t.fleet.HTTP.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	peaks := map[string]int{}
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		var name string
+		var probes, connections int
+		if _, err := fmt.Sscan(lines.Text(), &name, &probes, &connections); err != nil {
+			return nil, err
+		}
+		peaks[name] = probes
+	}
+	return peaks, lines.Err()
+}
--- /dev/null
+++ b/measure/link/doc.go
@@ -0,0 +1,2 @@
+// Package link puts a fault-injecting proxy into a connection.
+package link
--- /dev/null
+++ b/measure/proc/doc.go
@@ -0,0 +1,2 @@
+// Package proc runs one process of an experiment.
+package proc
--- /dev/null
+++ b/measure/proc/process.go
@@ -0,0 +1,151 @@
+package proc
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const clockTicks = 100 // per second, in /proc/PID/stat
+
+// Process is one program under the harness; its exported fields are set before Start.
+type Process struct {
+	Name   string
+	Binary string
+	Args   []string
+	Env    []string // besides the harness's own
+	LogDir string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	done    chan struct{}
+	code    int
+}
+
+// Start runs the program; its output goes to a file named after the process.
+func (p *Process) Start() error {
+	log, err := os.OpenFile(p.LogFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.CommandContext(context.Background(), p.Binary, p.Args...)
+	command.Env = append(os.Environ(), p.Env...)
+	command.Stdout, command.Stderr = log, log
+	// A process must not outlive a harness that is killed.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		_ = log.Close()
+		return errors.Wrap(err, p.Name)
+	}
+	done := make(chan struct{})
+	p.mu.Lock()
+	p.command, p.done = command, done
+	p.mu.Unlock()
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		p.mu.Lock()
+		p.code = command.ProcessState.ExitCode()
+		p.mu.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+// LogFile returns the name of the file with the output.
+func (p *Process) LogFile() string {
+	return filepath.Join(p.LogDir, p.Name+".log")
+}
+
+// Log returns the output so far.
+func (p *Process) Log() string {
+	data, err := os.ReadFile(p.LogFile())
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
+
+// Signal sends a signal; a process that has ended takes none.
+func (p *Process) Signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil && p.Running() {
+		_ = p.command.Process.Signal(signal)
+	}
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// ExitCode returns the code with which the process ended, once it has.
+func (p *Process) ExitCode() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.code
+}
+
+// Wait waits for the end, and reports whether it came within the time.
+func (p *Process) Wait(limit time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// CPU returns the processor time used so far.
+func (p *Process) CPU() time.Duration {
+	fields := p.stat()
+	if len(fields) < 15 {
+		return 0
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * time.Second / clockTicks
+}
+
+// stat returns the fields of /proc/PID/stat after the name of the program.
+func (p *Process) stat() []string {
+	p.mu.Lock()
+	pid := p.command.Process.Pid
+	p.mu.Unlock()
+	data, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
+	if err != nil {
+		return nil
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	return strings.Fields(rest)
+}
+
+// Memory returns the resident memory in bytes.
+func (p *Process) Memory() int64 {
+	fields := p.stat()
+	if len(fields) < 22 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[21], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
--- /dev/null
+++ b/measure/scenario/registry.go
@@ -0,0 +1,89 @@
+package scenario
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"poplarworks/measure/fleet"
+	"poplarworks/measure/loadgen"
+)
+
+// Sizes of the Registry's deployment.
+const (
+	StatusTargets = 14
+	StatusSlots   = 3
+	StatusWork    = 10 * time.Millisecond // mean slot time of a lookup
+	workSigma     = 0.5                   // of its logarithm
+)
+
+// Status is the Registry's status reading, with neighbours that shift within milliseconds.
+type Status struct {
+	Noisy       bool
+	Exponential bool // slot times are spread exponentially, instead of log-normally
+	Seed        uint64
+}
+
+// Group returns the targets.
+func (s Status) Group() fleet.Group {
+	g := fleet.Group{
+		Name:        "status-reading",
+		Count:       StatusTargets,
+		Slots:       StatusSlots,
+		Queue:       200,
+		Work:        StatusWork,
+		ConnectCost: time.Millisecond,
+		ProbeCost:   time.Millisecond,
+		ReportLag:   20 * time.Millisecond,
+		Seed:        s.Seed,
+	}
+	if s.Noisy {
+		g.NoiseQuiet, g.NoiseNoisy, g.NoiseFactor = 80*time.Millisecond, 20*time.Millisecond, 4
+	}
+	return g
+}
+
+// Capacity returns the lookups a second that the targets can run, noise included.
+func (s Status) Capacity() float64 {
+	perSlot := 1 / StatusWork.Seconds()
+	if s.Noisy {
+		// In a noisy phase, one fifth of the time, work takes four times longer.
+		perSlot *= 0.8 + 0.2/4
+	}
+	return StatusTargets * StatusSlots * perSlot
+}
+
+// ServiceFields returns the fields of the service record besides its targets.
+func (s Status) ServiceFields(entries int) string {
+	return fmt.Sprintf(`"capacity": {"slots": %d, "connections": 220, "max-entries": %d},
+		"probe": {"path": "/load", "cost": "1ms", "budget": "60ms"}`, StatusSlots, entries)
+}
+
+// Rule returns the rule of the lookups.
+func (s Status) Rule() string {
+	return `{"schema": 2, "kind": "rule", "name": "status-lookup", "service": "status-reading",
+		"match": {"methods": ["GET"], "path-prefix": "/status"}, "idempotent": true, "class": "short",
+		"deadline": "2s", "not-run-statuses": [503]}`
+}
+
+// work draws a slot time with the mean StatusWork.
+func (s Status) work(random *rand.Rand) time.Duration {
+	if s.Exponential {
+		return time.Duration(random.ExpFloat64() * float64(StatusWork))
+	}
+	logarithm := workSigma*random.NormFloat64() - workSigma*workSigma/2
+	return time.Duration(math.Exp(logarithm) * float64(StatusWork))
+}
+
+// Lookup returns a shot through a random entry.
+func (s Status) Lookup(random *rand.Rand, entries []*fleet.Entry) loadgen.Shot {
+	e := entries[random.IntN(len(entries))]
+	work := s.work(random)
+	return loadgen.Shot{
+		Class:    "lookup",
+		Method:   "GET",
+		URL:      fmt.Sprintf("%s/status/%d?work=%s", e.CallerURL, random.IntN(100_000), work),
+		Deadline: 2 * time.Second,
+	}
+}
--- /dev/null
+++ b/measure/tail/command.go
@@ -0,0 +1,122 @@
+package tail
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"poplarworks/measure/fleet"
+	"poplarworks/measure/loadgen"
+	"poplarworks/measure/report"
+	"poplarworks/measure/scenario"
+	"poplarworks/measure/tally"
+)
+
+const (
+	product    = "power-of-d"
+	oracle     = "oracle"
+	roundRobin = "round-robin"
+	leastOfTwo = "least-of-two"
+
+	oracleFactor     = 1.25 // bound on the product's tail against the oracle's
+	roundRobinFactor = 0.5  // and against round robin's
+)
+
+// Command returns the experiment.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "tail",
+		Usage: "tail latency of short lookups at 14 targets of 3 slots, all pickers in one run",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "entries", Value: 3},
+			&cli.DurationFlag{Name: "duration", Value: 15 * time.Second, Usage: "of each picker at each load"},
+			&cli.IntSliceFlag{Name: "load", Value: []int{60, 75, 90}, Usage: "percent of capacity"},
+			&cli.StringSliceFlag{Name: "picker", Value: []string{product, leastOfTwo, "random", roundRobin, oracle}},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.BoolFlag{Name: "exponential", Usage: "spread slot times exponentially"},
+			&cli.IntFlag{Name: "choices", Usage: "targets that power-of-d compares"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	out := c.Root().Writer
+	verdict := &report.Verdict{Out: out}
+	for _, load := range c.IntSlice("load") {
+		table := &report.Table{
+			Title:   fmt.Sprintf("Lookups at %d%% of capacity, seed %d, %d entries", load, c.Uint64("seed"), c.Int("entries")),
+			Heading: []string{"picker", "sent", "served in time", "p50", "p99", "p99.9"},
+		}
+		results := map[string]*tally.Class{}
+		for _, picker := range c.StringSlice("picker") {
+			result, err := measure(ctx, c, picker, float64(load)/100)
+			if err != nil {
+				return err
+			}
+			results[picker] = result
+			table.Row(picker, result.Sent, result.Share(), result.Quantile(50), result.Quantile(99), result.Quantile(99.9))
+		}
+		table.Print(out)
+		judge(verdict, load, results)
+	}
+	if verdict.Missed() > 0 {
+		return cli.Exit(strconv.Itoa(verdict.Missed())+" bounds were missed", 1)
+	}
+	return nil
+}
+
+func measure(ctx context.Context, c *cli.Command, picker string, load float64) (*tally.Class, error) {
+	status := scenario.Status{Noisy: true, Exponential: c.Bool("exponential"), Seed: c.Uint64("seed")}
+	f, err := fleet.Start(fleet.Plan{
+		Entries:     c.Int("entries"),
+		Groups:      []fleet.Group{status.Group()},
+		Picker:      picker,
+		Choices:     c.Int("choices"),
+		OracleGroup: "status-reading",
+		NoAsserts:   true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Stop()
+	if err := f.Put(f.Groups[0].Service(status.ServiceFields(c.Int("entries"))), status.Rule()); err != nil {
+		return nil, err
+	}
+	if _, err := f.InForce(2, 5*time.Second); err != nil {
+		return nil, err
+	}
+	offer := func(span time.Duration) *tally.Result {
+		generator := &loadgen.Generator{
+			Rate:     func(time.Duration) float64 { return load * status.Capacity() },
+			Duration: span,
+			Seed:     c.Uint64("seed"),
+			Next:     func(random *rand.Rand, _ int) loadgen.Shot { return status.Lookup(random, f.Entries) },
+		}
+		return generator.Run(ctx)
+	}
+	offer(2 * time.Second) // connections and estimates settle
+	return offer(c.Duration("duration")).Class("lookup"), nil
+}
+
+// judge holds the product's tail against the baselines that ran beside it.
+func judge(verdict *report.Verdict, load int, results map[string]*tally.Class) {
+	own, ok := results[product]
+	if !ok {
+		return
+	}
+	for _, quantile := range []float64{99, 99.9} {
+		for name, factor := range map[string]float64{oracle: oracleFactor, roundRobin: roundRobinFactor, leastOfTwo: 1} {
+			baseline, ok := results[name]
+			if !ok {
+				continue
+			}
+			ratio := float64(own.Quantile(quantile)) / float64(baseline.Quantile(quantile))
+			verdict.AtMost(fmt.Sprintf("p%v at %d%% against %s", quantile, load, name), ratio, factor)
+		}
+	}
+}
--- /dev/null
+++ b/measure/tail/doc.go
@@ -0,0 +1,2 @@
+// Package tail compares pickers by the tail latency of short lookups under noisy neighbours.
+package tail
--- a/standin/app/app.go
+++ b/standin/app/app.go
@@ -41,7 +41,7 @@
 }
 
 func serve(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/standin/control/panel.go
+++ b/standin/control/panel.go
@@ -79,14 +79,14 @@
 func (p *Panel) loads(w http.ResponseWriter, _ *http.Request) {
 	for _, t := range p.Targets {
 		running, waiting, slowdown := t.Load()
-		fmt.Fprintf(w, "%s %d %d %d %.2f\n", t.Name, running, waiting, t.Slots, slowdown)
+		_, _ = fmt.Fprintf(w, "%s %d %d %d %.2f\n", t.Name, running, waiting, t.Slots, slowdown)
 	}
 }
 
 // peaks answers one line for each target: name, most probes in a second, open connections.
 func (p *Panel) peaks(w http.ResponseWriter, _ *http.Request) {
 	for _, t := range p.Targets {
-		fmt.Fprintf(w, "%s %d %d\n", t.Name, t.ProbePeak(), t.ConnectionCount())
+		_, _ = fmt.Fprintf(w, "%s %d %d\n", t.Name, t.ProbePeak(), t.ConnectionCount())
 	}
 }
 
--- a/standin/target/download.go
+++ b/standin/target/download.go
@@ -14,6 +14,7 @@
 	offset int64
 }
 
+// Read returns the next bytes at the rate asked for.
 func (d *download) Read(into []byte) (int, error) {
 	if d.offset >= d.size {
 		return 0, io.EOF
@@ -29,6 +30,7 @@
 	return int(n), nil
 }
 
+// Seek moves to an offset.
 func (d *download) Seek(offset int64, whence int) (int64, error) {
 	switch whence {
 	case io.SeekCurrent:
--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -56,7 +56,7 @@
 	s.slots = make(chan struct{}, s.Slots)
 	go s.sampleLoad(ctx)
 	for ctx.Err() == nil {
-		listener, err := net.Listen("tcp", s.Address.String())
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Address.String())
 		if err != nil {
 			return err
 		}
