--- /dev/null
+++ b/core/claim/machine_test.go
@@ -0,0 +1,61 @@
+package claim
+
+import (
+	"testing"
+
+	"poplarworks/core/code"
+	"poplarworks/core/invariant"
+)
+
+func TestOnlyAClaimInHandMaySend(t *testing.T) {
+	scenarios := []struct {
+		name  string
+		steps func(m *Machine)
+		send  bool
+		run   code.Run
+	}{
+		{"fresh", func(*Machine) {}, false, code.NotRun},
+		{"being written", func(m *Machine) { m.Write() }, false, code.NotRun},
+		{"written", func(m *Machine) { m.Write(); m.Granted() }, true, code.NotRun},
+		{"another's", func(m *Machine) { m.Write(); m.Yield() }, false, code.Unknown},
+		{"not settled", func(m *Machine) { m.Write(); m.Lose() }, false, code.NotRun},
+		{"sent", func(m *Machine) { m.Write(); m.Granted(); m.Send() }, false, code.Unknown},
+		{"sent and proven not run", func(m *Machine) { m.Write(); m.Granted(); m.Send(); m.NotRun() }, true, code.NotRun},
+		{"sent and broken off", func(m *Machine) { m.Write(); m.Granted(); m.Send(); m.Break() }, false, code.Unknown},
+		{"answered", func(m *Machine) { m.Write(); m.Granted(); m.Send(); m.Answer() }, false, code.Ran},
+		{"released", func(m *Machine) { m.Write(); m.Granted(); m.Free() }, false, code.NotRun},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			m := &Machine{}
+			s.steps(m)
+			if got := m.Run(); got != s.run {
+				t.Errorf("got run %s, want %s", got, s.run)
+			}
+			if got := m.Send(); got != s.send {
+				t.Errorf("got send allowed %t, want %t", got, s.send)
+			}
+		})
+	}
+}
+
+func TestAStepOutOfOrderIsABreach(t *testing.T) {
+	breaches := 0
+	m := &Machine{Check: &invariant.Checker{Fail: func(string) { breaches++ }}}
+	m.Send()
+	if breaches != 1 {
+		t.Errorf("got %d breaches for a send without a claim, want 1", breaches)
+	}
+}
+
+// BenchmarkMachine measures what the library costs for each claimed request.
+func BenchmarkMachine(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		m := &Machine{}
+		m.Write()
+		m.Granted()
+		m.Send()
+		m.Answer()
+	}
+}
--- /dev/null
+++ b/core/claimrow/row_test.go
@@ -0,0 +1,39 @@
+package claimrow
+
+import (
+	"testing"
+
+	"poplarworks/core/answer"
+)
+
+func TestJudge(t *testing.T) {
+	row := func(state State) Row { return Row{Nonce: "other", Fingerprint: []byte("f"), State: state} }
+	kept, stored := row(Done), row(Done)
+	kept.Answer = &answer.Answer{Status: 200}
+	stored.Object = "answers/1"
+	own := row(Claimed)
+	own.Nonce = "mine"
+	another := row(Released)
+	another.Fingerprint = []byte("g")
+	scenarios := []struct {
+		name string
+		row  Row
+		want Verdict
+	}{
+		{"the own row", own, Mine},
+		{"a row in the holder's hands", row(Claimed), Ask},
+		{"a released row", row(Released), Retake},
+		{"a released row of another request", another, Reused},
+		{"an answer in the row", kept, Replay},
+		{"an answer in the object store", stored, Fetch},
+		{"an answer that was not kept", row(Done), Lost},
+		{"a state of a newer version", row("sealed"), Ask},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			if got := Judge(s.row, []byte("f"), "mine"); got != s.want {
+				t.Errorf("got %s, want %s", got, s.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/fairqueue/queue_test.go
@@ -0,0 +1,107 @@
+package fairqueue
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+func queue() *Queue {
+	return &Queue{Target: 0.25, Interval: 100 * time.Millisecond}
+}
+
+func start() time.Time {
+	return time.Unix(1_800_000_000, 0)
+}
+
+func item(id uint64, flow string, priority int) Item {
+	return Item{ID: id, Flow: flow, Priority: priority, Arrived: start(), Deadline: start().Add(time.Second)}
+}
+
+func popAll(q *Queue, now time.Time) []uint64 {
+	var ids []uint64
+	for q.Len() > 0 {
+		next, _ := q.Pop(now)
+		ids = append(ids, next.ID)
+	}
+	return ids
+}
+
+func TestOrder(t *testing.T) {
+	scenarios := []struct {
+		name  string
+		items []Item
+		want  []uint64
+	}{
+		{"the oldest first", []Item{item(1, "a", 0), item(2, "a", 0), item(3, "a", 0)}, []uint64{1, 2, 3}},
+		{"flows in turn", []Item{item(1, "a", 0), item(2, "a", 0), item(3, "a", 0), item(4, "b", 0)}, []uint64{1, 4, 2, 3}},
+		{"higher priorities first", []Item{item(1, "a", 0), item(2, "a", 9), item(3, "b", 5)}, []uint64{2, 3, 1}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			q := queue()
+			for _, i := range s.items {
+				q.Push(i)
+			}
+			if got := popAll(q, start()); !slices.Equal(got, s.want) {
+				t.Errorf("got %v, want %v", got, s.want)
+			}
+		})
+	}
+}
+
+func TestAStandingQueueServesTheNewestFirst(t *testing.T) {
+	q := queue()
+	for id := range uint64(5) {
+		q.Push(item(id, "a", 0))
+	}
+	q.Expire(start().Add(300 * time.Millisecond))
+	if q.Standing() {
+		t.Error("got standing at the first long wait, want not before the interval has passed")
+	}
+	q.Expire(start().Add(450 * time.Millisecond))
+	if !q.Standing() {
+		t.Fatal("got not standing after the interval, want standing")
+	}
+	if next, _ := q.Pop(start().Add(450 * time.Millisecond)); next.ID != 4 {
+		t.Errorf("got %d first, want the newest, 4", next.ID)
+	}
+	if got := q.Ahead(0); got != 0 {
+		t.Errorf("got %d ahead of a new item, want none", got)
+	}
+}
+
+func TestItemsThatWouldBeLateExpire(t *testing.T) {
+	q := queue()
+	long := item(1, "a", 0)
+	long.Need = 500 * time.Millisecond
+	q.Push(long)
+	q.Push(item(2, "b", 0))
+	late := q.Expire(start().Add(600 * time.Millisecond))
+	if len(late) != 1 || late[0].ID != 1 {
+		t.Errorf("got %v, want item 1 alone", late)
+	}
+	if got := q.Len(); got != 1 {
+		t.Errorf("got %d left, want 1", got)
+	}
+	if !q.Remove(2) || q.Remove(2) {
+		t.Error("got item 2 removed never or twice, want once")
+	}
+}
+
+func TestPeekNamesWhatPopTakes(t *testing.T) {
+	q := queue()
+	for id := range uint64(20) {
+		q.Push(item(id, string(rune('a'+id%3)), int(id%2)))
+	}
+	for q.Len() > 0 {
+		peeked, _ := q.Peek()
+		popped, _ := q.Pop(start())
+		if peeked.ID != popped.ID {
+			t.Fatalf("got %d popped, want %d as peeked", popped.ID, peeked.ID)
+		}
+	}
+	if _, ok := q.Peek(); ok {
+		t.Error("got an item from an empty queue")
+	}
+}
--- /dev/null
+++ b/core/membership/members_test.go
@@ -0,0 +1,76 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"poplarworks/core/memberlife"
+)
+
+func state(m *Members, name string) memberlife.State {
+	for _, member := range m.All() {
+		if member.Name == name {
+			return member.State
+		}
+	}
+	return "forgotten"
+}
+
+func TestMembers(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	hear := func(m *Members, after time.Duration, incarnation, sequence uint64) bool {
+		return m.Hear(start.Add(after), Heartbeat{Name: "b", Incarnation: incarnation, Sequence: sequence})
+	}
+	scenarios := []struct {
+		name  string
+		steps func(m *Members)
+		look  time.Duration
+		want  memberlife.State
+	}{
+		{"listed and not heard", func(m *Members) { m.SetList(start, []Member{{Name: "b"}}) }, time.Second, memberlife.Listed},
+		{"listed and silent for long", func(m *Members) { m.SetList(start, []Member{{Name: "b"}}) }, time.Minute, memberlife.Dead},
+		{"heard", func(m *Members) { hear(m, 0, 1, 1) }, time.Second, memberlife.Alive},
+		{"overdue", func(m *Members) { hear(m, 0, 1, 1) }, 3 * time.Second, memberlife.Suspect},
+		{"silent", func(m *Members) { hear(m, 0, 1, 1) }, 11 * time.Second, memberlife.Dead},
+		{"heard again", func(m *Members) {
+			hear(m, 0, 1, 1)
+			m.Tick(start.Add(11 * time.Second))
+			hear(m, 12*time.Second, 1, 2)
+		}, 13 * time.Second, memberlife.Alive},
+		{"silent for very long and not listed", func(m *Members) { hear(m, 0, 1, 1) }, time.Hour, "forgotten"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			m := &Members{Self: "a"}
+			s.steps(m)
+			m.Tick(start.Add(s.look))
+			if got := state(m, "b"); got != s.want {
+				t.Errorf("got %s, want %s", got, s.want)
+			}
+		})
+	}
+}
+
+func TestOldHeartbeatsAreIgnored(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	m := &Members{Self: "a"}
+	scenarios := []struct {
+		name                  string
+		incarnation, sequence uint64
+		want                  bool
+	}{
+		{"the first", 5, 3, true},
+		{"the same again", 5, 3, false},
+		{"an earlier one", 5, 2, false},
+		{"a former incarnation, resumed after a pause", 4, 100, false},
+		{"a later incarnation", 6, 1, true},
+	}
+	for _, s := range scenarios {
+		if got := m.Hear(now, Heartbeat{Name: "b", Incarnation: s.incarnation, Sequence: s.sequence}); got != s.want {
+			t.Errorf("%s: got %t, want %t", s.name, got, s.want)
+		}
+	}
+	if m.Hear(now, Heartbeat{Name: "a", Incarnation: 9, Sequence: 9}) {
+		t.Error("got the own heartbeat taken, want it ignored")
+	}
+}
--- /dev/null
+++ b/core/quarantine/list_test.go
@@ -0,0 +1,71 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+func TestQuarantine(t *testing.T) {
+	type crash struct {
+		after  time.Duration
+		target string
+	}
+	scenarios := []struct {
+		name    string
+		crashes []crash
+		look    time.Duration
+		want    bool
+	}{
+		{"one crash", []crash{{0, "a"}}, time.Second, false},
+		{"crashes of two targets", []crash{{0, "a"}, {0, "b"}}, time.Second, true},
+		{"one crash reported twice", []crash{{0, "a"}, {time.Millisecond, "a"}}, time.Second, false},
+		{"two crashes of one target", []crash{{0, "a"}, {10 * time.Second, "a"}}, 11 * time.Second, true},
+		{"crashes far apart", []crash{{0, "a"}, {2 * time.Minute, "b"}}, 2*time.Minute + time.Second, false},
+		{"the end of the period", []crash{{0, "a"}, {0, "b"}}, time.Minute, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			start := time.Unix(1_800_000_000, 0)
+			list := &List{Threshold: 2, Period: time.Minute, Capacity: 10}
+			for _, c := range s.crashes {
+				list.Crash(start.Add(c.after), Fingerprint{1}, c.target)
+			}
+			if _, got := list.Blocked(start.Add(s.look), Fingerprint{1}); got != s.want {
+				t.Errorf("got blocked %t, want %t", got, s.want)
+			}
+			if _, got := list.Blocked(start.Add(s.look), Fingerprint{2}); got {
+				t.Error("got blocked for another request, want not")
+			}
+		})
+	}
+}
+
+func TestAnAnsweredRequestIsForgivenUnlessBlocked(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	list := &List{Threshold: 2, Period: time.Minute, Capacity: 10}
+	list.Crash(now, Fingerprint{1}, "a")
+	list.Forgive(now, Fingerprint{1})
+	list.Crash(now, Fingerprint{1}, "b")
+	if _, got := list.Blocked(now, Fingerprint{1}); got {
+		t.Error("got blocked after one crash since it was forgiven, want not")
+	}
+	list.Crash(now, Fingerprint{1}, "c")
+	list.Forgive(now, Fingerprint{1})
+	if _, got := list.Blocked(now, Fingerprint{1}); !got {
+		t.Error("got free after two crashes, want blocked")
+	}
+}
+
+func TestTheListIsBounded(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	list := &List{Threshold: 2, Period: time.Minute, Capacity: 10}
+	for i := range 100 {
+		list.Crash(now.Add(time.Duration(i)*time.Millisecond), Fingerprint{byte(i)}, "a")
+	}
+	if got, want := list.Size(), 10; got != want {
+		t.Errorf("got %d fingerprints, want %d", got, want)
+	}
+	if !list.Suspect(now.Add(time.Second), Fingerprint{99}) {
+		t.Error("got the newest fingerprint evicted, want the oldest")
+	}
+}
