Draw idle targets first and keep what exceeds the slots at the entry

Change: the picker draws among targets where this entry has nothing in flight; each entry keeps its even part of the slots and one more in flight, by the number of entries that the digests show to be active; slowness counts beyond what the spread of requests explains; reports move the estimate slowly.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -21,6 +21,7 @@
 	retryInitial   = 3.0
 	hedgeInitial   = 1.0
 	budgetCap      = 100.0
+	minTail        = 0.05 // share of answers that count as slow, unless a rule allows more hedges
 	rateMemory     = 500 * time.Millisecond
 	defaultLatency = 5 * time.Millisecond
 )
@@ -47,7 +48,9 @@
 	peers    map[string]peerLoad
 	finished rate
 	census   census
-	scratch  view // reused, so that a pick allocates nothing
+	idle     []int // indices of targets without a request of this entry
+	active   int   // entries that send to the service, this one included
+	scratch  view  // reused, so that a pick allocates nothing
 	started  time.Time
 	nextID   uint64
 }
@@ -74,6 +77,7 @@
 func (b *Balancer) Configure(now time.Time, s service.Service) {
 	if b.started.IsZero() {
 		b.started = now
+		b.active = 1
 		b.rules = map[string]*ruleState{}
 		b.waiting = map[uint64]request.Request{}
 		b.inFlight = map[uint64]*attempt{}
@@ -96,6 +100,7 @@
 			b.targets = append(b.targets, t)
 		}
 	}
+	b.relist()
 	b.count()
 }
 
@@ -104,11 +109,11 @@
 	for _, t := range known {
 		if t.record.Name == record.Name && t.record.Address == record.Address && !t.removed {
 			t.record = record
-			t.configure(b.service)
+			t.configure(b.service, b.active)
 			return t
 		}
 	}
-	t := newTarget(now, record, b.service)
+	t := newTarget(now, record, b.service, b.active)
 	if first {
 		// At the start of an entry every target is new to it, and none of them is cold.
 		t.warm()
@@ -121,7 +126,7 @@
 	if !ok {
 		state = &ruleState{
 			typical: quantile.Tracker{Quantile: 0.5},
-			slow:    quantile.Tracker{Quantile: 0.95},
+			slow:    quantile.Tracker{Quantile: 1 - max(hedgeRatio, minTail)},
 			retries: budget.Share{Cap: budgetCap, Initial: retryInitial},
 			hedges:  budget.Share{Cap: budgetCap, Initial: hedgeInitial},
 		}
--- a/core/balancer/digest.go
+++ b/core/balancer/digest.go
@@ -11,6 +11,7 @@
 // peerLoad is what a peer said of its requests in flight.
 type peerLoad struct {
 	at      time.Time
+	busyAt  time.Time // when it last had any
 	targets map[string]digest.Load
 }
 
@@ -27,10 +28,32 @@
 
 // PeerDigest takes a peer's digest, which replaces its former one.
 func (b *Balancer) PeerDigest(now time.Time, peer string, loads map[string]digest.Load) {
-	b.peers[peer] = peerLoad{at: now, targets: loads}
+	held := b.peers[peer]
+	held.at, held.targets = now, loads
+	if len(loads) > 0 {
+		held.busyAt = now
+	}
+	b.peers[peer] = held
 	b.addPeers(now)
 }
 
+// setActive counts the entries that have sent to the service lately, and divides the slots among them.
+func (b *Balancer) setActive(now time.Time) {
+	active := 1
+	for _, p := range b.peers {
+		if now.Sub(p.busyAt) <= digestLifetime {
+			active++
+		}
+	}
+	if active == b.active {
+		return
+	}
+	b.active = active
+	for _, t := range b.targets {
+		t.configure(b.service, active)
+	}
+}
+
 func (b *Balancer) addPeers(now time.Time) {
 	long, inFlight := map[string]int{}, map[string]int{}
 	for peer, p := range b.peers {
@@ -43,6 +66,7 @@
 			inFlight[name] += l.InFlight
 		}
 	}
+	b.setActive(now)
 	for _, t := range b.targets {
 		t.peersLong = long[t.record.Name]
 		if b.service.LoadHeader == "" {
--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -134,6 +134,7 @@
 	a := &attempt{request: r, target: t, begun: now, expected: state.expected(), long: long, load: t.load.At(now)}
 	b.inFlight[r.ID] = a
 	t.load.Sent()
+	b.delist(t)
 	t.sent++
 	t.lastSent = now
 	if long {
--- a/core/balancer/target.go
+++ b/core/balancer/target.go
@@ -16,6 +16,7 @@
 	staleness       = 60 * time.Millisecond
 	slownessMemory  = 400 * time.Millisecond
 	slownessWeight  = 0.15
+	ordinaryRatio   = 1.6 // slowness that the spread of ordinary requests explains
 	longShare       = 0.5 // share of a target's slots that long requests may hold
 	firstBackoff    = 100 * time.Millisecond
 	longestBackoff  = 2 * time.Second
@@ -34,6 +35,8 @@
 	removed bool // no longer in the record
 	stopped bool // a planned stop is in force
 
+	index     int // in the list of targets
+	idleAt    int // place in the list of idle targets, or -1
 	machine   lifecycle.Machine
 	load      load.Estimate
 	score     slowness.Score
@@ -55,7 +58,7 @@
 	sent        uint64
 }
 
-func newTarget(now time.Time, record service.Target, s service.Service) *target {
+func newTarget(now time.Time, record service.Target, s service.Service, active int) *target {
 	t := &target{
 		record: record,
 		load:   load.Estimate{Staleness: staleness},
@@ -63,18 +66,22 @@
 		probes: probebudget.Budget{Started: now},
 		since:  now,
 	}
-	t.configure(s)
+	t.configure(s, active)
 	return t
 }
 
-func (t *target) configure(s service.Service) {
+// configure takes the record and the number of entries that send to the target. Each keeps its even part of the slots
+// in flight, and one more, so that a slot that comes free finds work; what goes beyond waits at the entry, where it can
+// still go to whichever target comes free first.
+func (t *target) configure(s service.Service, active int) {
 	t.slots = float64(s.Slots)
 	t.share = s.ConnectionsPerEntry()
 	t.ramp = s.Ramp
 	t.probes.PerWindow = s.ProbesPerEntry()
 	t.limit.Min = 1
-	t.limit.Max = math.Min(t.slots+1, float64(t.share))
-	t.limit.Initial = t.slots
+	part := math.Ceil(t.slots / float64(max(1, active)))
+	t.limit.Max = math.Min(part+1, float64(t.share))
+	t.limit.Initial = t.limit.Max
 }
 
 func (t *target) warm() {
@@ -122,13 +129,10 @@
 	return t.long+t.peersLong < max(1, int(t.slots*longShare))
 }
 
-// cost is the expected time to an answer as a multiple of that of an idle, healthy target.
+// cost is the expected time to an answer as a multiple of that of an idle, healthy target. Slowness counts only beyond
+// what the spread of ordinary requests explains.
 func (t *target) cost(now time.Time) float64 {
-	held := t.load.At(now)
-	queued := held
-	busy := 1 + queued/t.slots + idleBias*held/t.slots
-	return busy * t.score.Ratio(now) / t.rampFraction(now)
+	busy := 1 + t.load.At(now)/t.slots
+	slow := math.Max(1, t.score.Ratio(now)/ordinaryRatio)
+	return busy * slow / t.rampFraction(now)
 }
-
-// idleBias makes an emptier target slightly cheaper than one whose slots are nearly all taken.
-const idleBias = 0.25
--- a/core/limiter/limit.go
+++ b/core/limiter/limit.go
@@ -28,6 +28,7 @@
 	if l.current == 0 {
 		l.current = math.Min(math.Max(l.Initial, l.Min), l.Max)
 	}
+	l.current = math.Min(math.Max(l.current, l.Min), l.Max)
 	return l.current
 }
 
--- a/core/load/estimate.go
+++ b/core/load/estimate.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	fastWeight = 0.05 // weight of each report in the recent mean
-	slowWeight = 0.02 // and in the long-run mean, which is what is left once reports are stale
+	fastWeight = 0.02  // weight of each report in the recent mean
+	slowWeight = 0.005 // and in the long-run mean, which is what is left once reports are stale
 )
 
 // Estimate follows one target; the zero value with Staleness set is ready for use.
--- a/core/powerofd/picker.go
+++ b/core/powerofd/picker.go
@@ -6,48 +6,56 @@
 	"poplarworks/core/picking"
 )
 
-// Picker draws Choices targets and takes the one with the lowest cost; its cost does not grow with the targets as long
-// as some of those drawn are eligible.
+// fineCost is the cost up to which an idle target is taken without a look at busy ones.
+const fineCost = 1.5
+
+// Picker draws Choices targets and takes the one with the lowest cost. It draws among the targets at which this entry
+// has nothing in flight first, since that is the only load it knows without delay; busy ones are compared too when the
+// best of these is slow. The cost of a pick does not grow with the targets as long as some of those drawn are eligible.
 type Picker struct {
 	Choices int
 	Random  *rand.Rand
 }
 
-// Pick returns the target's index, and whether any target is eligible.
-func (p *Picker) Pick(view picking.View) (int, bool) {
-	if best, ok := p.sample(view); ok {
-		return best, true
-	}
-	return p.search(view)
+// candidate is the best target of a draw.
+type candidate struct {
+	index int
+	cost  float64
+	found bool
 }
 
-func (p *Picker) sample(view picking.View) (int, bool) {
-	best, lowest := -1, 0.0
-	for range p.Choices {
-		i := p.Random.IntN(view.Len())
-		if i == best || !view.Eligible(i) {
-			continue
-		}
-		if cost := view.Cost(i); best < 0 || cost < lowest {
-			best, lowest = i, cost
+// Pick returns the target's index, and whether any target is eligible.
+func (p *Picker) Pick(view picking.View) (int, bool) {
+	var idle candidate
+	if n := view.Idle(); n > 0 {
+		idle = p.cheapest(view, n, true)
+		if idle.found && idle.cost <= fineCost {
+			return idle.index, true
 		}
 	}
-	return best, best >= 0
+	busy := p.cheapest(view, view.Len(), false)
+	if idle.found && (!busy.found || idle.cost <= busy.cost) {
+		return idle.index, true
+	}
+	return busy.index, busy.found
 }
 
-// search looks at every target once, from a random place on, until as many eligible ones as choices were seen.
-func (p *Picker) search(view picking.View) (int, bool) {
-	best, lowest, seen := -1, 0.0, 0
-	start := p.Random.IntN(view.Len())
-	for step := 0; step < view.Len() && seen < p.Choices; step++ {
-		i := (start + step) % view.Len()
+// cheapest compares as many eligible targets as there are choices, from a random place of the list on.
+func (p *Picker) cheapest(view picking.View, n int, idle bool) candidate {
+	best, seen := candidate{index: -1}, 0
+	start := p.Random.IntN(n)
+	for step := 0; step < n && seen < p.Choices; step++ {
+		i := (start + step) % n
+		if idle {
+			i = view.IdleAt(i)
+		}
 		if !view.Eligible(i) {
 			continue
 		}
 		seen++
-		if cost := view.Cost(i); best < 0 || cost < lowest {
-			best, lowest = i, cost
+		if cost := view.Cost(i); !best.found || cost < best.cost {
+			best = candidate{index: i, cost: cost, found: true}
 		}
 	}
-	return best, best >= 0
+	return best
 }
--- a/entry/exchange/body.go
+++ b/entry/exchange/body.go
@@ -65,6 +65,8 @@
 	}
 	limited := http.MaxBytesReader(c.w, c.r.Body, c.rule.MaxBody)
 	if !c.buffered() {
+		// The answer may begin before the body has ended.
+		_ = c.control.EnableFullDuplex()
 		c.body.rest = &patientReader{call: c, from: limited}
 		return nil
 	}
--- /dev/null
+++ b/entry/exchange/failure_test.go
@@ -0,0 +1,320 @@
+package exchange
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"poplarworks/core/answer"
+	"poplarworks/core/claim"
+	"poplarworks/core/code"
+	"poplarworks/entry/claims"
+)
+
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func shed(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+
+// truncate promises more than it sends.
+func truncate(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = w.Write([]byte("part"))
+	panic(http.ErrAbortHandler)
+}
+
+func counted(count *atomic.Int64, handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		handle(w, r)
+	}
+}
+
+func TestWhatATargetsFaultMeansToTheCaller(t *testing.T) {
+	key := []string{"Idempotency-Key", "k"}
+	scenarios := []struct {
+		name    string
+		first   http.HandlerFunc // the fault of one target; another one is healthy
+		method  string
+		path    string
+		fields  []string
+		status  int
+		code    string
+		atMost  int64 // runs at both targets together
+		healthy int64 // runs at the healthy one
+	}{
+		{"a lookup that breaks is tried elsewhere", abort, "GET", "/status", nil, 200, " ", 2, 1},
+		{"a lookup cut short is tried elsewhere", truncate, "GET", "/status", nil, 200, " ", 2, 1},
+		{"a lookup that was shed is tried elsewhere", shed, "GET", "/status", nil, 200, " ", 2, 1},
+		{"a fee that breaks is not tried elsewhere", abort, "POST", "/fees", key, 502, "4001 unknown", 1, 0},
+		{"a fee whose answer is cut short neither", truncate, "POST", "/fees", key, 502, "4001 unknown", 1, 0},
+		{"a fee that was shed is tried elsewhere", shed, "POST", "/fees", key, 200, " ", 2, 1},
+		{"a note without a key that breaks is not tried elsewhere", abort, "POST", "/notes", nil, 502, "4001 unknown", 1, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			// Which target is picked first is random; the scenario counts once the faulty one was.
+			for range 40 {
+				var faulty, healthy atomic.Int64
+				r := newRig(t, counted(&faulty, s.first), counted(&healthy, echo))
+				got := r.send(s.method, s.path, "", s.fields...)
+				if faulty.Load() == 0 {
+					continue
+				}
+				if got.status != s.status || got.code() != s.code {
+					t.Errorf("got %d %s, want %d %s", got.status, got.code(), s.status, s.code)
+				}
+				if runs := faulty.Load() + healthy.Load(); runs > s.atMost || healthy.Load() != s.healthy {
+					t.Errorf("got %d runs, %d at the healthy target, want at most %d and %d", runs, healthy.Load(), s.atMost, s.healthy)
+				}
+				return
+			}
+			t.Fatal("the faulty target was never picked")
+		})
+	}
+}
+
+func TestNobodyLeft(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		handle http.HandlerFunc
+		method string
+		path   string
+		want   string
+	}{
+		{"all shed a lookup", shed, "GET", "/status", "4003 not-run"},
+		{"all shed a fee", shed, "POST", "/fees", "4003 not-run"},
+		{"all break a lookup", abort, "GET", "/status", "4001 unknown"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			r := newRig(t, s.handle, s.handle)
+			if got := r.send(s.method, s.path, "", "Idempotency-Key", "k"); got.code() != s.want {
+				t.Errorf("got %s, want %s", got.code(), s.want)
+			}
+		})
+	}
+}
+
+func TestAnAnswerFromFurtherDownIsNotTriedAgain(t *testing.T) {
+	var runs atomic.Int64
+	r := newRig(t, counted(&runs, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Poplar-Code", "4001")
+		w.Header().Set("Poplar-Run", "unknown")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	got := r.send("GET", "/status", "")
+	if runs.Load() != 1 || got.code() != "4001 unknown" {
+		t.Errorf("got %d runs and %s, want 1 and the answer from further down", runs.Load(), got.code())
+	}
+}
+
+func TestRetriesOfLayersBeforeCount(t *testing.T) {
+	var runs atomic.Int64
+	r := newRig(t, counted(&runs, shed), counted(&runs, shed), counted(&runs, shed), counted(&runs, shed))
+	r.send("GET", "/status/1", "")
+	if got := runs.Load(); got != 3 {
+		t.Errorf("got %d attempts, want 3", got)
+	}
+	runs.Store(0)
+	r.send("GET", "/status/2", "", "Poplar-Attempt", "2")
+	if got := runs.Load(); got != 1 {
+		t.Errorf("got %d attempts after two retries further up, want 1", got)
+	}
+}
+
+func TestAPoisonousRequestCrashesAtMostTwoTargets(t *testing.T) {
+	var runs atomic.Int64
+	poison := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/status/poison" {
+			runs.Add(1)
+			abort(w, r)
+		}
+		echo(w, r)
+	}
+	r := newRig(t, poison, poison, poison, poison)
+	var last reply
+	for range 10 {
+		last = r.send("GET", "/status/poison", "")
+	}
+	if got := runs.Load(); got > 2 {
+		t.Errorf("got %d crashes, want at most 2", got)
+	}
+	if last.code() != "2005 not-run" {
+		t.Errorf("got %s at last, want 2005 not-run", last.code())
+	}
+	for i := range 20 {
+		if got := r.send("GET", "/status/"+strconv.Itoa(i), ""); got.status != 200 {
+			t.Fatalf("got %d for a harmless request, want 200", got.status)
+		}
+	}
+}
+
+// build serves a file by ranges, and breaks off after some bytes when told to.
+func build(size int, breakAfter int, etag string) http.HandlerFunc {
+	content := strings.Repeat("0123456789", size/10)
+	return func(w http.ResponseWriter, r *http.Request) {
+		if etag != "" {
+			w.Header().Set("ETag", etag)
+		}
+		if breakAfter > 0 {
+			w = &breakingWriter{ResponseWriter: w, left: breakAfter}
+		}
+		http.ServeContent(w, r, "", time.Time{}, strings.NewReader(content))
+	}
+}
+
+type breakingWriter struct {
+	http.ResponseWriter
+
+	left int
+}
+
+func (b *breakingWriter) Write(data []byte) (int, error) {
+	if len(data) > b.left {
+		_, _ = b.ResponseWriter.Write(data[:b.left])
+		_ = http.NewResponseController(b.ResponseWriter).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	b.left -= len(data)
+	return b.ResponseWriter.Write(data)
+}
+
+func TestDownloadsThatBreak(t *testing.T) {
+	const size = 1_000_000
+	scenarios := []struct {
+		name  string
+		etags [2]string // of the breaking and the healthy target
+		whole bool
+	}{
+		{"with one strong entity tag are resumed", [2]string{`"v1"`, `"v1"`}, true},
+		{"with another entity tag are cut", [2]string{`"v1"`, `"v2"`}, false},
+		{"with a weak entity tag are cut", [2]string{`W/"v1"`, `W/"v1"`}, false},
+		{"without an entity tag are cut", [2]string{"", ""}, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			for range 40 {
+				var broken, healthy atomic.Int64
+				r := newRig(t, counted(&broken, build(size, 300_000, s.etags[0])), counted(&healthy, build(size, 0, s.etags[1])))
+				got := r.send("GET", "/builds/1", "")
+				if broken.Load() == 0 {
+					continue
+				}
+				want := strings.Repeat("0123456789", size/10)
+				whole := got.err == nil && got.body == want
+				if whole != s.whole {
+					t.Errorf("got whole %t (%d bytes, %v), want %t", whole, len(got.body), got.err, s.whole)
+				}
+				if !whole && got.err == nil {
+					t.Error("got a part that looks whole, want the connection broken")
+				}
+				return
+			}
+			t.Fatal("the breaking target was never picked")
+		})
+	}
+}
+
+func TestClaims(t *testing.T) {
+	kept := &answer.Answer{Status: 201, Fields: []answer.Field{{Name: "X-Fee", Value: "7"}}, Body: []byte("paid")}
+	scenarios := []struct {
+		name   string
+		result claims.Result
+		status int
+		want   string
+		runs   int64
+	}{
+		{"an earlier answer is given again", claims.Result{Answer: kept}, 201, " ", 0},
+		{"an earlier send may have run", claims.Result{Code: code.EarlierUnknown, Run: code.Unknown}, 409, "3003 unknown", 0},
+		{"the store is down", claims.Result{Code: code.StoreUnavailable, Run: code.NotRun}, 503, "3001 not-run", 0},
+		{"the key belongs to another request", claims.Result{Code: code.KeyReused, Run: code.NotRun}, 422, "1007 not-run", 0},
+		{"the claim is granted", claims.Result{}, 200, " ", 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			var runs atomic.Int64
+			r := newRig(t, counted(&runs, echo))
+			r.claims.result = s.result
+			got := r.send("POST", "/fees", "5", "Idempotency-Key", "k")
+			if got.status != s.status || got.code() != s.want || runs.Load() != s.runs {
+				t.Errorf("got %d %s and %d runs, want %d %s and %d", got.status, got.code(), runs.Load(), s.status, s.want, s.runs)
+			}
+			if s.result.Answer != nil && (got.body != "paid" || got.header.Get("X-Fee") != "7" || got.header.Get("Poplar-Replayed") != "true") {
+				t.Errorf("got %q %v, want the kept answer", got.body, got.header)
+			}
+		})
+	}
+}
+
+func TestAClaimEndsByWhatIsProven(t *testing.T) {
+	large := func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 300_000)) }
+	scenarios := []struct {
+		name   string
+		handle http.HandlerFunc
+		stage  claim.Stage
+		kept   bool
+	}{
+		{"an answer", echo, claim.Answered, true},
+		{"an error of the target's own", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, claim.Answered, true},
+		{"an answer too large to keep", large, claim.Answered, false},
+		{"a refusal by the target", shed, claim.Held, false},
+		{"a break", abort, claim.Uncertain, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			r := newRig(t, s.handle)
+			r.send("POST", "/fees", "5", "Idempotency-Key", "k")
+			if len(r.claims.settled) != 1 {
+				t.Fatalf("got %d claims settled, want 1", len(r.claims.settled))
+			}
+			if got := r.claims.settled[0].Stage(); got != s.stage {
+				t.Errorf("got stage %s, want %s", got, s.stage)
+			}
+			if got := r.claims.kept[0] != nil; got != s.kept {
+				t.Errorf("got an answer kept %t, want %t", got, s.kept)
+			}
+		})
+	}
+}
+
+func TestARefusalBeforeTheClaimSaysOnlyWhatIsKnown(t *testing.T) {
+	scenarios := []struct {
+		name string
+		look claims.Result
+		want string
+	}{
+		{"no earlier send", claims.Result{Run: code.NotRun}, "2002 not-run"},
+		{"the store does not answer", claims.Result{Run: code.Unknown}, "2002 unknown"},
+		{"an earlier send is unknown", claims.Result{Code: code.EarlierUnknown, Run: code.Unknown}, "3003 unknown"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			r := newRig(t, echo)
+			r.claims.look = s.look
+			got := r.send("POST", "/fees", "5", "Idempotency-Key", "k", "Poplar-Deadline-Ms", "1")
+			if got.code() != s.want {
+				t.Errorf("got %s, want %s", got.code(), s.want)
+			}
+		})
+	}
+}
+
+func TestLateAnswersNeverReachAnotherRequest(t *testing.T) {
+	r := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/status/slow") {
+			time.Sleep(150 * time.Millisecond)
+		}
+		_, _ = fmt.Fprint(w, r.URL.Path)
+	})
+	for i := range 50 {
+		slow, fast := fmt.Sprintf("/status/slow%d", i), fmt.Sprintf("/status/fast%d", i)
+		go r.send("GET", slow, "", "Poplar-Deadline-Ms", "50")
+		if got := r.send("GET", fast, ""); got.status == 200 && got.body != fast {
+			t.Fatalf("got %q, want %q", got.body, fast)
+		}
+	}
+}
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -38,7 +38,7 @@
 	Settle(ticket *claims.Ticket, kept *answer.Answer)
 }
 
-type crashes interface {
+type crashKeeper interface {
 	Blocked(now time.Time, fingerprint quarantine.Fingerprint) (time.Time, bool)
 	Suspect(now time.Time, fingerprint quarantine.Fingerprint) bool
 	Crash(fingerprint quarantine.Fingerprint, target string)
@@ -52,7 +52,7 @@
 	Services services
 	Targets  targets
 	Claims   claimKeeper
-	Crashes  crashes
+	Crashes  crashKeeper
 	Refusing func() bool                         // whether new requests are refused, since the entry is stopping
 	Left     func(service string, target string) // tells of a target that says it is leaving
 	Quota    *buffers.Quota
--- /dev/null
+++ b/entry/exchange/rig_test.go
@@ -0,0 +1,201 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"poplarworks/core/answer"
+	"poplarworks/core/balancer"
+	"poplarworks/core/catalog"
+	"poplarworks/core/code"
+	"poplarworks/core/invariant"
+	"poplarworks/core/notation"
+	"poplarworks/core/powerofd"
+	"poplarworks/core/quarantine"
+	"poplarworks/entry/buffers"
+	"poplarworks/entry/claims"
+	"poplarworks/entry/common"
+	"poplarworks/entry/crashes"
+	"poplarworks/entry/dispatch"
+	"poplarworks/entry/settings"
+	"poplarworks/entry/target"
+)
+
+// rig is a handler between a test's client and its targets, in one process.
+type rig struct {
+	t       *testing.T
+	url     string
+	client  *http.Client
+	handler *Handler
+	claims  *fakeClaims
+	catalog *catalog.Catalog
+}
+
+func (r *rig) Catalog() *catalog.Catalog { return r.catalog }
+
+func (r *rig) Ready() bool { return true }
+
+// fakeClaims grants every claim that it is not told to refuse.
+type fakeClaims struct {
+	result  claims.Result
+	look    claims.Result
+	settled []*claims.Ticket
+	kept    []*answer.Answer
+}
+
+func (f *fakeClaims) Claim(_ context.Context, t *claims.Ticket) claims.Result {
+	t.Machine.Write()
+	if f.result.Code != code.OK || f.result.Answer != nil {
+		t.Machine.Yield()
+		return f.result
+	}
+	t.Machine.Granted()
+	return claims.Result{Granted: true}
+}
+
+func (f *fakeClaims) Look(context.Context, *claims.Ticket) claims.Result { return f.look }
+
+func (f *fakeClaims) Settle(t *claims.Ticket, kept *answer.Answer) {
+	f.settled = append(f.settled, t)
+	f.kept = append(f.kept, kept)
+}
+
+const testRules = `{"schema": 2, "kind": "rule", "name": "lookup", "service": "s", "match": {"path-prefix": "/status"},
+	"idempotent": true, "deadline": "2s", "not-run-statuses": [503], "retry": {"ratio": 1}, "limits": {"body-bytes": 100000, "answer-bytes": 65536}}
+---
+{"schema": 2, "kind": "rule", "name": "build", "service": "s", "match": {"path-prefix": "/builds"},
+	"idempotent": true, "class": "long", "deadline": "5s", "retry": {"ratio": 1}, "limits": {"body-bytes": 10000000}}
+---
+{"schema": 2, "kind": "rule", "name": "fee", "service": "s", "match": {"methods": ["POST"], "path-prefix": "/fees"},
+	"deadline": "2s", "not-run-statuses": [503], "retry": {"ratio": 1}, "limits": {"body-bytes": 1000}}
+---
+{"schema": 2, "kind": "rule", "name": "note", "service": "s", "match": {"methods": ["POST"], "path-prefix": "/notes"},
+	"deadline": "2s", "idempotency-key": {"required": false}, "not-run-statuses": [503]}`
+
+func newRig(t *testing.T, targets ...http.HandlerFunc) *rig {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	c := &common.Common{
+		Settings: settings.Settings{
+			Name: "entry-1", MaxHeaderBytes: 8 << 10, BodyTimeout: time.Second, AnswerWriteTimeout: time.Second,
+			CallerHeader: "Studio",
+		},
+		Logger:  logger,
+		Metrics: metrics.NewRegistry(),
+		Check:   &invariant.Checker{Fail: func(breach string) { t.Error("invariant: " + breach) }},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	directory := &dispatch.Directory{Common: c, NewPicker: func(random *rand.Rand) balancer.Picker {
+		return &powerofd.Picker{Choices: 3, Random: random}
+	}}
+	pool := &target.Pool{Common: c, Share: func(netip.AddrPort) int { return 100 }}
+	pool.Start()
+	go pool.Run(ctx)
+	keeper := &crashes.Keeper{Common: c, Tell: func(quarantine.Fingerprint, string) {}}
+	keeper.Start()
+	r := &rig{t: t, client: &http.Client{Transport: &http.Transport{}}, claims: &fakeClaims{}, catalog: testCatalog(t, targets)}
+	directory.Configure(r.catalog)
+	r.handler = &Handler{
+		Common: c, Records: r, Services: directory, Targets: pool, Claims: r.claims, Crashes: keeper,
+		Refusing: func() bool { return false }, Left: func(string, string) {}, Quota: &buffers.Quota{Max: 16 << 20},
+	}
+	server := httptest.NewServer(r.handler)
+	t.Cleanup(server.Close)
+	r.url = server.URL
+	return r
+}
+
+func testCatalog(t *testing.T, targets []http.HandlerFunc) *catalog.Catalog {
+	t.Helper()
+	var list []string
+	for i, handle := range targets {
+		server := httptest.NewServer(handle)
+		t.Cleanup(server.CloseClientConnections)
+		t.Cleanup(server.Close)
+		list = append(list, fmt.Sprintf(`{"name": "t%d", "address": %q}`, i+1, strings.TrimPrefix(server.URL, "http://")))
+	}
+	texts := strings.Split(testRules, "---")
+	texts = append(texts, fmt.Sprintf(`{"schema": 2, "kind": "service", "name": "s", "targets": [%s],
+		"capacity": {"slots": 10}, "load-header": "Endpoint-Load-Metrics", "drain-header": "Target-Draining"}`, strings.Join(list, ",")))
+	c := &catalog.Catalog{}
+	for i, text := range texts {
+		rec, err := notation.Decode("rig", []byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		rec.Revision = uint64(i + 1)
+		c.Apply(rec)
+	}
+	if got := len(c.All()); got != len(texts) {
+		t.Fatalf("got %d records, want %d", got, len(texts))
+	}
+	return c
+}
+
+// reply is an answer as the caller sees it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // while the body was read
+}
+
+func (r *rig) do(request *http.Request) reply {
+	r.t.Helper()
+	got, err := r.client.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = got.Body.Close() }()
+	data, err := io.ReadAll(got.Body)
+	return reply{status: got.StatusCode, header: got.Header, body: string(data), err: err}
+}
+
+func (r *rig) send(method, path, body string, fields ...string) reply {
+	r.t.Helper()
+	request, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	for i := 0; i < len(fields); i += 2 {
+		request.Header.Set(fields[i], fields[i+1])
+	}
+	return r.do(request)
+}
+
+// raw sends bytes as they are and returns the status line and the header of the answer.
+func (r *rig) raw(text string) string {
+	r.t.Helper()
+	socket, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer func() { _ = socket.Close() }()
+	_ = socket.SetDeadline(time.Now().Add(3 * time.Second))
+	if _, err := io.WriteString(socket, text); err != nil {
+		r.t.Fatal(err)
+	}
+	var head strings.Builder
+	lines := bufio.NewScanner(socket)
+	for lines.Scan() && lines.Text() != "" {
+		head.WriteString(lines.Text() + "\n")
+	}
+	return head.String()
+}
+
+func (r reply) code() string { return r.header.Get("Poplar-Code") + " " + r.header.Get("Poplar-Run") }
