Divide the slots among the active entries without a word

Change: entries that agree on who is active, by the digests, agree on whose slot is whose; a pick looks at own free slots first, and at others when these are taken or slow.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -34,6 +34,7 @@
 // Balancer holds the state of one service; its exported fields are set before use, and it is not safe for concurrent
 // use.
 type Balancer struct {
+	Self   string // name of this entry
 	Picker Picker
 	Random *rand.Rand
 	Check  *invariant.Checker
@@ -48,9 +49,9 @@
 	peers    map[string]peerLoad
 	finished rate
 	census   census
-	idle     []int // indices of targets without a request of this entry
-	active   int   // entries that send to the service, this one included
-	scratch  view  // reused, so that a pick allocates nothing
+	free     []int    // indices of targets where this entry has a slot of its own free
+	active   []string // entries that send to the service, this one included, in order
+	scratch  view     // reused, so that a pick allocates nothing
 	started  time.Time
 	nextID   uint64
 }
@@ -77,7 +78,7 @@
 func (b *Balancer) Configure(now time.Time, s service.Service) {
 	if b.started.IsZero() {
 		b.started = now
-		b.active = 1
+		b.active = []string{b.Self}
 		b.rules = map[string]*ruleState{}
 		b.waiting = map[uint64]request.Request{}
 		b.inFlight = map[uint64]*attempt{}
@@ -100,7 +101,7 @@
 			b.targets = append(b.targets, t)
 		}
 	}
-	b.relist()
+	b.allot()
 	b.count()
 }
 
@@ -109,11 +110,11 @@
 	for _, t := range known {
 		if t.record.Name == record.Name && t.record.Address == record.Address && !t.removed {
 			t.record = record
-			t.configure(b.service, b.active)
+			t.configure(b.service, len(b.active))
 			return t
 		}
 	}
-	t := newTarget(now, record, b.service, b.active)
+	t := newTarget(now, record, b.service, len(b.active))
 	if first {
 		// At the start of an entry every target is new to it, and none of them is cold.
 		t.warm()
--- a/core/balancer/digest.go
+++ b/core/balancer/digest.go
@@ -37,23 +37,6 @@
 	b.addPeers(now)
 }
 
-// setActive counts the entries that have sent to the service lately, and divides the slots among them.
-func (b *Balancer) setActive(now time.Time) {
-	active := 1
-	for _, p := range b.peers {
-		if now.Sub(p.busyAt) <= digestLifetime {
-			active++
-		}
-	}
-	if active == b.active {
-		return
-	}
-	b.active = active
-	for _, t := range b.targets {
-		t.configure(b.service, active)
-	}
-}
-
 func (b *Balancer) addPeers(now time.Time) {
 	long, inFlight := map[string]int{}, map[string]int{}
 	for peer, p := range b.peers {
@@ -66,7 +49,7 @@
 			inFlight[name] += l.InFlight
 		}
 	}
-	b.setActive(now)
+	b.divide(now)
 	for _, t := range b.targets {
 		t.peersLong = long[t.record.Name]
 		if b.service.LoadHeader == "" {
--- a/core/balancer/finish.go
+++ b/core/balancer/finish.go
@@ -27,9 +27,7 @@
 		t.load.Report(now, o.InFlight)
 	}
 	t.load.Done()
-	if t.load.Own() == 0 {
-		b.enlist(t)
-	}
+	b.enlist(t)
 	b.Check.Hold(t.load.Own() >= 0, "target %s has %d requests in flight", t.record.Name, t.load.Own())
 	if a.long {
 		t.long--
--- a/core/balancer/target.go
+++ b/core/balancer/target.go
@@ -36,7 +36,8 @@
 	stopped bool // a planned stop is in force
 
 	index     int // in the list of targets
-	idleAt    int // place in the list of idle targets, or -1
+	freeAt    int // place in the list of targets with a free slot, or -1
+	home      int // slots that this entry counts as its own
 	machine   lifecycle.Machine
 	load      load.Estimate
 	score     slowness.Score
--- a/core/balancer/view.go
+++ b/core/balancer/view.go
@@ -28,11 +28,11 @@
 	return v.Open(i) && v.b.targets[i].fits(v.now, v.long)
 }
 
-// Idle returns the number of targets without a request of this entry.
-func (v *view) Idle() int { return len(v.b.idle) }
+// Free returns the number of targets where this entry has a slot of its own free.
+func (v *view) Free() int { return len(v.b.free) }
 
-// IdleAt returns the index of one of these.
-func (v *view) IdleAt(k int) int { return v.b.idle[k] }
+// FreeAt returns the index of one of these.
+func (v *view) FreeAt(k int) int { return v.b.free[k] }
 
 // Own returns this entry's requests in flight.
 func (v *view) Own(i int) int { return v.b.targets[i].load.Own() }
--- a/core/picking/view.go
+++ b/core/picking/view.go
@@ -10,10 +10,10 @@
 	Open(i int) bool
 	// Eligible reports whether the target is open and below every limit for this request.
 	Eligible(i int) bool
-	// Idle returns the number of targets at which this entry has no request in flight.
-	Idle() int
-	// IdleAt returns the index of the k-th of these, in no order.
-	IdleAt(k int) int
+	// Free returns the number of targets at which a slot is free that no other entry counts on.
+	Free() int
+	// FreeAt returns the index of the k-th of these, in no order.
+	FreeAt(k int) int
 	// Own returns this entry's requests in flight at the target.
 	Own(i int) int
 	// Cost returns the expected time to an answer, as a multiple of that of an idle target.
--- a/core/powerofd/picker.go
+++ b/core/powerofd/picker.go
@@ -6,12 +6,13 @@
 	"poplarworks/core/picking"
 )
 
-// fineCost is the cost up to which an idle target is taken without a look at busy ones.
-const fineCost = 1.5
+// fineCost is the cost up to which a free slot is taken without a look at others.
+const fineCost = 2.0
 
 // Picker draws Choices targets and takes the one with the lowest cost. It draws among the targets at which this entry
-// has nothing in flight first, since that is the only load it knows without delay; busy ones are compared too when the
-// best of these is slow. The cost of a pick does not grow with the targets as long as some of those drawn are eligible.
+// has a slot of its own free first, since that is the only load it knows without delay; others are compared too when
+// the best of these is slow. The cost of a pick does not grow with the targets as long as some of those drawn are
+// eligible.
 type Picker struct {
 	Choices int
 	Random  *rand.Rand
@@ -26,28 +27,28 @@
 
 // Pick returns the target's index, and whether any target is eligible.
 func (p *Picker) Pick(view picking.View) (int, bool) {
-	var idle candidate
-	if n := view.Idle(); n > 0 {
-		idle = p.cheapest(view, n, true)
-		if idle.found && idle.cost <= fineCost {
-			return idle.index, true
+	var own candidate
+	if n := view.Free(); n > 0 {
+		own = p.cheapest(view, n, true)
+		if own.found && own.cost <= fineCost {
+			return own.index, true
 		}
 	}
-	busy := p.cheapest(view, view.Len(), false)
-	if idle.found && (!busy.found || idle.cost <= busy.cost) {
-		return idle.index, true
+	other := p.cheapest(view, view.Len(), false)
+	if own.found && (!other.found || own.cost <= other.cost) {
+		return own.index, true
 	}
-	return busy.index, busy.found
+	return other.index, other.found
 }
 
 // cheapest compares as many eligible targets as there are choices, from a random place of the list on.
-func (p *Picker) cheapest(view picking.View, n int, idle bool) candidate {
+func (p *Picker) cheapest(view picking.View, n int, free bool) candidate {
 	best, seen := candidate{index: -1}, 0
 	start := p.Random.IntN(n)
 	for step := 0; step < n && seen < p.Choices; step++ {
 		i := (start + step) % n
-		if idle {
-			i = view.IdleAt(i)
+		if free {
+			i = view.FreeAt(i)
 		}
 		if !view.Eligible(i) {
 			continue
--- a/entry/dispatch/directory.go
+++ b/entry/dispatch/directory.go
@@ -101,7 +101,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), d.Incarnation))
 	s := &Service{
 		Common:   d.Common,
-		balancer: &balancer.Balancer{Picker: d.NewPicker(random), Random: random, Check: d.Check},
+		balancer: &balancer.Balancer{Self: d.Settings.Name, Picker: d.NewPicker(random), Random: random, Check: d.Check},
 		waiters:  map[uint64]chan decision.Decision{},
 		wake:     make(chan struct{}, 1),
 	}
--- a/measure/scenario/registry.go
+++ b/measure/scenario/registry.go
@@ -60,11 +60,11 @@
 		"probe": {"path": "/load", "cost": "1ms", "budget": "60ms"}`, StatusSlots, entries)
 }
 
-// Rule returns the rule of the lookups.
-func (s Status) Rule() string {
-	return `{"schema": 2, "kind": "rule", "name": "status-lookup", "service": "status-reading",
+// Rule returns the rule of the lookups; hedges is the share of lookups that may have a second attempt beside the first.
+func (s Status) Rule(hedges float64) string {
+	return fmt.Sprintf(`{"schema": 2, "kind": "rule", "name": "status-lookup", "service": "status-reading",
 		"match": {"methods": ["GET"], "path-prefix": "/status"}, "idempotent": true, "class": "short",
-		"deadline": "2s", "not-run-statuses": [503]}`
+		"deadline": "2s", "hedge": {"ratio": %g}, "not-run-statuses": [503]}`, hedges)
 }
 
 // work draws a slot time with the mean StatusWork.
--- a/measure/tail/command.go
+++ b/measure/tail/command.go
@@ -38,6 +38,7 @@
 			&cli.StringSliceFlag{Name: "picker", Value: []string{product, leastOfTwo, "random", roundRobin, oracle}},
 			&cli.Uint64Flag{Name: "seed", Value: 1},
 			&cli.BoolFlag{Name: "exponential", Usage: "spread slot times exponentially"},
+			&cli.FloatFlag{Name: "hedge", Usage: "share of lookups that the product may hedge; the baselines never do"},
 			&cli.IntFlag{Name: "choices", Usage: "targets that power-of-d compares"},
 		},
 		Action: run,
@@ -84,7 +85,11 @@
 		return nil, err
 	}
 	defer f.Stop()
-	if err := f.Put(f.Groups[0].Service(status.ServiceFields(c.Int("entries"))), status.Rule()); err != nil {
+	hedges := 0.0
+	if picker == product {
+		hedges = c.Float("hedge")
+	}
+	if err := f.Put(f.Groups[0].Service(status.ServiceFields(c.Int("entries"))), status.Rule(hedges)); err != nil {
 		return nil, err
 	}
 	if _, err := f.InForce(2, 5*time.Second); err != nil {
