Add the randomised run and say not-run only with a look

Change: such a refusal of a request that is not idempotent says unknown, or what the claim's row says. Pages, records and settings have their reference checked.

--- a/core/jsonc/object.go
+++ b/core/jsonc/object.go
@@ -26,6 +26,7 @@
 	file     string
 	text     []byte
 	problems []string
+	fields   []string // that were read, with the path of their object
 }
 
 // Parse reads one object from text; file names the source in errors.
@@ -116,13 +117,21 @@
 	o.source.problem(offset, o.field(name), text)
 }
 
-// Ignore marks a member as known without reading it.
-func (o *Object) Ignore(name string) {
+// Fields returns the names of the members that were asked for, present or not, each with the path of its object; it
+// serves to check a reference page against the code.
+func (o *Object) Fields() []string {
+	return o.source.fields
+}
+
+func (o *Object) use(name string) {
+	if !o.used[name] {
+		o.source.fields = append(o.source.fields, o.field(name))
+	}
 	o.used[name] = true
 }
 
 func (o *Object) take(name string, kind hujson.Kind, want string) (hujson.Literal, bool) {
-	o.used[name] = true
+	o.use(name)
 	value, ok := o.members[name]
 	if !ok {
 		return nil, false
@@ -172,7 +181,7 @@
 
 // Bool reads true or false, or gives the fallback when the member is absent.
 func (o *Object) Bool(name string, fallback bool) bool {
-	o.used[name] = true
+	o.use(name)
 	value, ok := o.members[name]
 	if !ok {
 		return fallback
@@ -290,7 +299,7 @@
 }
 
 func (o *Object) list(name string) []hujson.Value {
-	o.used[name] = true
+	o.use(name)
 	value, ok := o.members[name]
 	if !ok {
 		return nil
--- a/core/notation/notation.go
+++ b/core/notation/notation.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return record.Record{}, err
 	}
-	version, codec := schema(obj)
+	version, codec := schemaOf(obj)
 	if codec == nil {
 		return record.Record{}, obj.Err()
 	}
@@ -47,7 +47,7 @@
 	return rec, obj.Err()
 }
 
-func schema(obj *jsonc.Object) (int, decoder) {
+func schemaOf(obj *jsonc.Object) (int, decoder) {
 	switch version := obj.Int("schema", 0, 0, 1_000_000); version {
 	case 1:
 		return version, schema1.Decoder{}
--- a/entry/caller/limiter.go
+++ b/entry/caller/limiter.go
@@ -49,7 +49,7 @@
 	_ = socket.SetDeadline(time.Now().Add(refusalTimeout))
 	entry := code.TooManyConnections.Entry()
 	_, _ = fmt.Fprintf(socket, "HTTP/1.1 %d Service Unavailable\r\n%s: %d\r\n%s: %s\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-		entry.Status, relay.CodeHeader, code.TooManyConnections, relay.RunHeader, code.NotRun)
+		entry.Status, relay.CodeHeader, code.TooManyConnections, relay.RunHeader, code.Unknown)
 	// Closing with unread input would reset the connection and lose the refusal.
 	buffer := make([]byte, 4096)
 	for {
--- a/entry/claims/keeper.go
+++ b/entry/claims/keeper.go
@@ -141,6 +141,9 @@
 		if known && kept != nil {
 			return Result{Answer: kept}, false
 		}
+		if claimsLapse {
+			return Result{}, true
+		}
 		next, changed := k.reread(ctx, row, t.Key)
 		if !changed {
 			return refused(code.EarlierUnknown, code.Unknown), false
--- a/entry/exchange/body.go
+++ b/entry/exchange/body.go
@@ -134,6 +134,7 @@
 	from io.Reader
 }
 
+// Read returns the next piece.
 func (p *patientReader) Read(into []byte) (int, error) {
 	_ = p.call.control.SetReadDeadline(p.call.Now().Add(p.call.Settings.BodyTimeout))
 	n, err := p.from.Read(into)
--- a/entry/exchange/claimed.go
+++ b/entry/exchange/claimed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"poplarworks/core/code"
@@ -63,6 +64,35 @@
 	return 0
 }
 
+// refuseEarly refuses a request before its claim was looked at. Of a request that may be the repetition of one that ran,
+// nobody may be told that it did not run without a look.
+func (c *call) refuseEarly(r refusal.Refusal) {
+	switch {
+	case r.Code == code.Quarantined && c.key != "":
+		ticket := claims.NewTicket(c.rule.Service, c.identity(), c.key, c.contentPrint(), c.rule.Retention, c.Check)
+		c.refuseUnclaimed(ticket, result{code: r.Code, retryAfter: r.RetryAfter})
+		return
+	case !safe(c.r.Method) && !c.rule.Idempotent && mendable(r.Code):
+		r.Run = code.Unknown
+	}
+	c.refuse(r)
+}
+
+// safe reports whether the method asks for nothing that could run twice.
+func safe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+// mendable reports whether the same request may have got further at another time or entry.
+func mendable(number code.Code) bool {
+	switch number {
+	case code.NoRule, code.NoTarget, code.Draining, code.NotReady, code.Overloaded, code.BodyTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
 // refuseUnclaimed refuses a request that got no target; whether it has run is for the claim of an earlier send to say.
 func (c *call) refuseUnclaimed(ticket *claims.Ticket, res result) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.r.Context()), lookTimeout)
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -74,7 +74,7 @@
 	c := &call{Handler: h, w: w, r: r, control: http.NewResponseController(w)}
 	defer c.close()
 	if refused := c.prepare(); refused != nil {
-		c.refuse(*refused)
+		c.refuseEarly(*refused)
 		return
 	}
 	c.serve()
--- a/entry/records/keeper.go
+++ b/entry/records/keeper.go
@@ -22,6 +22,7 @@
 	scanLimit        = 500
 	keptChanges      = 4096
 	snapshotInterval = 30 * time.Second
+	snapshotPatience = 3 * time.Second // time in which a source that may be newer than the snapshot can answer first
 	loadTimeout      = 10 * time.Second
 	repairAfter      = 3 // polls in a row that find the table behind
 )
@@ -230,8 +231,9 @@
 		records, head, err := k.readSnapshot(ctx)
 		if err == nil {
 			k.Apply(records, head)
+			k.Log("records").WithField("revision", head).Info("The snapshot is loaded.")
+			sleep(ctx, snapshotPatience)
 			k.ready.Store(true)
-			k.Log("records").Info("The snapshot is loaded.")
 			return
 		}
 		if !sleep(ctx, k.spread(k.Settings.PollInterval)) {
--- a/entry/target/exchange.go
+++ b/entry/target/exchange.go
@@ -45,6 +45,7 @@
 	exchange *Exchange
 }
 
+// Read returns the next piece.
 func (b *wholeBody) Read(into []byte) (int, error) {
 	n, err := b.ReadCloser.Read(into)
 	if err == io.EOF {
--- a/entry/target/report.go
+++ b/entry/target/report.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		held, err := strconv.ParseFloat(number, 64)
-		if err != nil || held < 0 || held > maxReported {
+		if err != nil || !(held >= 0 && held <= maxReported) {
 			return 0, false
 		}
 		return int(held), true
--- a/measure/app/app.go
+++ b/measure/app/app.go
@@ -5,6 +5,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"poplarworks/measure/chaos"
+	"poplarworks/measure/doccheck"
 	"poplarworks/measure/tail"
 )
 
@@ -14,6 +16,8 @@
 		Name:  "measure",
 		Usage: "run the experiments that docs/MEASUREMENTS.md reports",
 		Commands: []*cli.Command{
+			chaos.Command(),
+			doccheck.Command(),
 			tail.Command(),
 		},
 	}
--- /dev/null
+++ b/measure/doccheck/doc.go
@@ -0,0 +1,2 @@
+// Package doccheck finds exported names and packages without a doc comment.
+package doccheck
--- a/measure/fleet/fleet.go
+++ b/measure/fleet/fleet.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	binaries, err := Build()
+	binaries, err := Build(plan.Tags)
 	if err != nil {
 		return nil, err
 	}
@@ -81,15 +81,15 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(bytes), uint16(port))
 }
 
-// Build compiles the programs once and returns the folder that holds them.
-func Build() (string, error) {
+// Build compiles the programs, with build tags if any, and returns the folder that holds them.
+func Build(tags string) (string, error) {
 	root, err := moduleRoot()
 	if err != nil {
 		return "", err
 	}
-	folder := filepath.Join(root, "bin")
+	folder := filepath.Join(root, "bin", tags)
 	for name, module := range map[string]string{"poplar-entry": "entry", "poplarctl": "ctl", "poplar-standin": "standin"} {
-		command := exec.CommandContext(context.Background(), "go", "build", "-o", filepath.Join(folder, name), "./"+module)
+		command := exec.CommandContext(context.Background(), "go", "build", "-tags", tags, "-o", filepath.Join(folder, name), "./"+module)
 		command.Dir = root
 		if output, err := command.CombinedOutput(); err != nil {
 			return "", errors.Wrapf(err, "build %s: %s", name, output)
--- a/measure/fleet/plan.go
+++ b/measure/fleet/plan.go
@@ -18,6 +18,7 @@
 	MaxConnections int
 	LogLevel       string
 	Cores          int    // processor cores that each entry may use; zero for all
+	Tags           string // build tags of the programs
 	Extra          string // further fields of the entries' settings
 }
 
