Add the integration tests and the added-time experiment; hold work back after a pause

And a send was told not-run (3001) while the store was down, although an earlier send of its key had run.

Change: an entry that notices a gap in its own time takes in news for 100 ms before it sends; 3001 and 3002 say unknown, with Poplar-This-Send: not-run for what is certain. Integration tests with real processes cover the promises.

--- a/entry/claims/keeper.go
+++ b/entry/claims/keeper.go
@@ -80,13 +80,14 @@
 		outcome := k.committer.Write(ctx, &write{key: t.Key, version: version, row: t.Row})
 		switch {
 		case errors.Is(outcome.err, store.ErrDown):
-			// The row was surely not written, so that a later send finds the way free.
+			// The row was surely not written, so that a later send finds the way free. This send did not run; whether an
+			// earlier one did only the table could tell.
 			t.Machine.Lose()
-			return refused(code.StoreUnavailable, code.NotRun)
+			return refused(code.StoreUnavailable, code.Unknown)
 		case outcome.err != nil:
 			t.Machine.Lose()
 			go k.release(t)
-			return refused(code.ClaimUnknown, code.NotRun)
+			return refused(code.ClaimUnknown, code.Unknown)
 		case outcome.met == nil:
 			t.Machine.Granted()
 			k.remember(t)
--- a/entry/dispatch/directory.go
+++ b/entry/dispatch/directory.go
@@ -23,6 +23,7 @@
 	*common.Common
 	NewPicker func(random *rand.Rand) balancer.Picker
 
+	stall    stallGuard
 	mu       sync.RWMutex
 	services map[string]*Service
 	cancels  map[string]context.CancelFunc
@@ -39,6 +40,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			d.stall.look(d.Now())
 			d.applyStops()
 		}
 	}
@@ -101,6 +103,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), d.Incarnation))
 	s := &Service{
 		Common:   d.Common,
+		stall:    &d.stall,
 		balancer: &balancer.Balancer{Self: d.Settings.Name, Picker: d.NewPicker(random), Random: random, Check: d.Check},
 		waiters:  map[uint64]chan decision.Decision{},
 		wake:     make(chan struct{}, 1),
--- a/entry/dispatch/service.go
+++ b/entry/dispatch/service.go
@@ -24,6 +24,7 @@
 type Service struct {
 	*common.Common
 
+	stall    *stallGuard
 	mu       sync.Mutex
 	balancer *balancer.Balancer
 	waiters  map[uint64]chan decision.Decision
@@ -44,6 +45,7 @@
 
 // Submit returns the decision to send or to refuse, after a wait if need be.
 func (s *Service) Submit(ctx context.Context, r request.Request) decision.Decision {
+	s.stall.wait(ctx, s.Now())
 	s.mu.Lock()
 	d := s.balancer.Submit(s.Now(), r)
 	return s.await(ctx, d)
--- a/entry/exchange/claimed.go
+++ b/entry/exchange/claimed.go
@@ -54,7 +54,7 @@
 		c.replay(result.Answer)
 		return
 	}
-	c.refuse(refusal.Refusal{Code: result.Code, Run: result.Run, RetryAfter: retryAfter(result.Code)})
+	c.refuse(refusal.Refusal{Code: result.Code, Run: result.Run, RetryAfter: retryAfter(result.Code), SendNotRun: true})
 }
 
 func retryAfter(number code.Code) time.Duration {
@@ -73,7 +73,7 @@
 		c.refuseUnclaimed(ticket, result{code: r.Code, retryAfter: r.RetryAfter})
 		return
 	case !safe(c.r.Method) && !c.rule.Idempotent && mendable(r.Code):
-		r.Run = code.Unknown
+		r.Run, r.SendNotRun = code.Unknown, true
 	}
 	c.refuse(r)
 }
@@ -102,5 +102,5 @@
 		c.answerEarlier(result)
 		return
 	}
-	c.refuse(refusal.Refusal{Code: res.code, Run: result.Run, RetryAfter: res.retryAfter})
+	c.refuse(refusal.Refusal{Code: res.code, Run: result.Run, RetryAfter: res.retryAfter, SendNotRun: true})
 }
--- a/entry/refusal/refusal.go
+++ b/entry/refusal/refusal.go
@@ -17,6 +17,7 @@
 	Run        code.Run
 	RetryAfter time.Duration
 	Detail     string // beyond the code's own text
+	SendNotRun bool   // this very send reached no target, whatever became of earlier ones
 }
 
 type wireRefusal struct {
@@ -34,6 +35,9 @@
 	header.Set("Content-Type", "application/json")
 	header.Set(relay.CodeHeader, strconv.Itoa(int(r.Code)))
 	header.Set(relay.RunHeader, string(r.Run))
+	if r.SendNotRun || r.Run == code.NotRun {
+		header.Set(relay.SendHeader, string(code.NotRun))
+	}
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 		header.Set("Poplar-Retry-After-Ms", strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
--- a/entry/relay/fields.go
+++ b/entry/relay/fields.go
@@ -12,6 +12,7 @@
 	AttemptHeader   = "Poplar-Attempt"
 	CodeHeader      = "Poplar-Code"
 	RunHeader       = "Poplar-Run"
+	SendHeader      = "Poplar-This-Send"
 	EntryHeader     = "Poplar-Entry"
 	ReplayHeader    = "Poplar-Replayed"
 	RequestIDHeader = "X-Request-Id"
--- a/measure/app/app.go
+++ b/measure/app/app.go
@@ -5,6 +5,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"poplarworks/measure/added"
 	"poplarworks/measure/chaos"
 	"poplarworks/measure/doccheck"
 	"poplarworks/measure/tail"
@@ -16,6 +17,7 @@
 		Name:  "measure",
 		Usage: "run the experiments that docs/MEASUREMENTS.md reports",
 		Commands: []*cli.Command{
+			added.Command(),
 			chaos.Command(),
 			doccheck.Command(),
 			tail.Command(),
--- a/measure/fleet/fleet.go
+++ b/measure/fleet/fleet.go
@@ -303,6 +303,13 @@
 	if err != nil {
 		return err
 	}
+	if f.Plan.TokenFile != "" {
+		token, err := os.ReadFile(f.Plan.TokenFile)
+		if err != nil {
+			return err
+		}
+		request.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
+	}
 	answer, err := f.HTTP.Do(request)
 	if err != nil {
 		return err
--- /dev/null
+++ b/measure/integration/driver_test.go
@@ -0,0 +1,180 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"poplarworks/measure/fleet"
+)
+
+// driver hides the waiting and the plumbing of a test's fleet.
+type driver struct {
+	*fleet.Fleet
+
+	t *testing.T
+}
+
+func group(name string) fleet.Group {
+	return fleet.Group{Name: name, Count: 3, Slots: 4, Work: 2 * time.Millisecond, ReportLag: 10 * time.Millisecond}
+}
+
+// start runs three entries with a lookup, a download and a fee rule, unless the plan says otherwise.
+func start(t *testing.T, plan fleet.Plan) *driver {
+	t.Helper()
+	if plan.Entries == 0 {
+		plan.Entries = 3
+	}
+	if plan.Groups == nil {
+		plan.Groups = []fleet.Group{group("status"), group("fees")}
+	}
+	f, err := fleet.Start(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &driver{Fleet: f, t: t}
+	t.Cleanup(func() {
+		for _, breach := range f.Breaches() {
+			t.Error("invariant: " + breach)
+		}
+		f.Stop()
+	})
+	d.put(
+		f.Groups[0].Service(""),
+		f.Groups[1].Service(""),
+		`{"schema": 2, "kind": "rule", "name": "lookup", "service": "status", "match": {"path-prefix": "/status"},
+			"idempotent": true, "deadline": "3s", "not-run-statuses": [503]}`,
+		`{"schema": 1, "kind": "rule", "name": "build", "service": "status", "path": "/builds", "safe-to-repeat": true, "long": true}`,
+		`{"schema": 1, "kind": "rule", "name": "fee", "service": "fees", "path": "/fees", "method": "POST", "not-run": [503]}`,
+		fmt.Sprintf(`{"schema": 2, "kind": "limits", "name": "default", "reads-per-second": 1000, "writes-per-second": 600, "max-entries": %d}`, plan.Entries),
+	)
+	d.inForce(6, 3*time.Second)
+	return d
+}
+
+func (d *driver) put(records ...string) {
+	d.t.Helper()
+	if err := d.Put(records...); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+func (d *driver) inForce(revision uint64, limit time.Duration) time.Duration {
+	d.t.Helper()
+	took, err := d.InForce(revision, limit)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return took
+}
+
+func (d *driver) await(what string, condition func() bool) {
+	d.t.Helper()
+	if err := d.Await(what, condition); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+func (d *driver) platform(part string, fault fleet.Fault) {
+	d.t.Helper()
+	if err := d.Platform(part, fault); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// ctl runs poplarctl and checks its exit code.
+func (d *driver) ctl(want int, args ...string) string {
+	d.t.Helper()
+	output, code := d.Ctl(d.Entries[0], args...)
+	if code != want {
+		d.t.Errorf("poplarctl %s: got exit code %d, want %d: %s", strings.Join(args, " "), code, want, output)
+	}
+	return output
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r reply) code() string { return r.header.Get("Poplar-Code") + " " + r.header.Get("Poplar-Run") }
+
+func (d *driver) send(entry int, method, path, key string) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, d.Entries[entry].CallerURL+path, strings.NewReader(key))
+	if err != nil {
+		return reply{err: err}
+	}
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	got, err := d.HTTP.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = got.Body.Close() }()
+	data, err := io.ReadAll(got.Body)
+	return reply{status: got.StatusCode, header: got.Header, body: string(data), err: err}
+}
+
+func (d *driver) get(entry int, path string) reply { return d.send(entry, http.MethodGet, path, "") }
+
+func (d *driver) pay(entry int, key string) reply {
+	return d.send(entry, http.MethodPost, "/fees/1", key)
+}
+
+// runs returns how often a key ran.
+func (d *driver) runs(key string) int {
+	d.t.Helper()
+	runs, err := d.Groups[1].Runs()
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return runs[key]
+}
+
+func (d *driver) served(entry int, path string) {
+	d.t.Helper()
+	if got := d.get(entry, path); got.status != http.StatusOK {
+		d.t.Errorf("got %d %s (%v) for %s at entry %d, want 200", got.status, got.code(), got.err, path, entry)
+	}
+}
+
+// background sends lookups to the entries in turn until it is stopped, and returns those that failed.
+func (d *driver) background(entries ...int) (stop func() []string) {
+	done := make(chan struct{})
+	var mu sync.Mutex
+	var failures []string
+	var group sync.WaitGroup
+	for worker := range 4 {
+		group.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				entry := entries[(worker+i)%len(entries)]
+				if got := d.get(entry, fmt.Sprintf("/status/%d", i)); got.status != http.StatusOK {
+					mu.Lock()
+					failures = append(failures, fmt.Sprintf("entry %d: %d %s (%v)", entry, got.status, got.header.Get("Poplar-Code"), got.err))
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	return func() []string {
+		close(done)
+		group.Wait()
+		return failures
+	}
+}
