Keep the collector out of the tail

Cause: 99 in 100 calls had up to 25 ms added on one core although the median had 0.2 ms. The collector's trace showed why: it ran several times a second, and its marking took the one processor. Ruled out: the machine (calls straight to the target in the same run had a p99 of 1.5 ms).

Change: pieces for copying are reused, 32 KB less allocated a call; the heap may grow to 200 MB before it is collected.

--- a/entry/app/app.go
+++ b/entry/app/app.go
@@ -27,8 +27,8 @@
 )
 
 const (
-	gcPercent   = 400
-	memoryLimit = 208 << 20 // bytes, beyond which the heap is collected more often
+	gcPercent   = 2000
+	memoryLimit = 200 << 20 // bytes, beyond which the heap is collected more often
 )
 
 // Run reads the arguments and serves until a signal arrives.
--- a/entry/exchange/answer.go
+++ b/entry/exchange/answer.go
@@ -22,7 +22,12 @@
 	reserved := int64(0)
 	defer func() { c.Quota.Give(reserved) }()
 	var body []byte
-	chunk := make([]byte, copyChunk)
+	if announced := exchange.Answer.ContentLength; announced > 0 && announced <= int64(most) {
+		body = make([]byte, 0, announced)
+	}
+	piece := c.chunk()
+	defer c.chunks.Put(piece)
+	chunk := *piece
 	for {
 		n, err := exchange.Answer.Body.Read(chunk)
 		body = append(body, chunk[:n]...)
@@ -119,7 +124,9 @@
 
 // copyRest sends the rest of the answer, each piece at once when its length was not announced.
 func (c *call) copyRest(ctx context.Context, res *result, exchange *target.Exchange) {
-	chunk := make([]byte, copyChunk)
+	piece := c.chunk()
+	defer c.chunks.Put(piece)
+	chunk := *piece
 	for {
 		n, err := exchange.Answer.Body.Read(chunk)
 		if n > 0 && c.write(chunk[:n]) != nil {
--- a/entry/exchange/body.go
+++ b/entry/exchange/body.go
@@ -84,7 +84,9 @@
 	if c.r.ContentLength == 0 || c.r.Body == http.NoBody {
 		return nil
 	}
-	chunk := make([]byte, readChunk)
+	piece := c.chunk()
+	defer c.chunks.Put(piece)
+	chunk := (*piece)[:readChunk]
 	for len(c.body.prefix) < most {
 		if !c.Quota.Take(readChunk) {
 			return &refusal.Refusal{Code: code.Overloaded, Run: code.NotRun, RetryAfter: time.Second}
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,16 @@
 	Quota    *buffers.Quota
 
 	inFlight atomic.Int64
+	chunks   sync.Pool // of pieces of copyChunk bytes
+}
+
+// chunk returns a piece of memory for copying, to be given back when the copy has ended.
+func (h *Handler) chunk() *[]byte {
+	if held, ok := h.chunks.Get().(*[]byte); ok {
+		return held
+	}
+	piece := make([]byte, copyChunk)
+	return &piece
 }
 
 // InFlight returns the requests that are being served.
--- a/measure/tail/command.go
+++ b/measure/tail/command.go
@@ -100,7 +100,7 @@
 			Rate:     func(time.Duration) float64 { return load * status.Capacity() },
 			Duration: span,
 			Seed:     c.Uint64("seed"),
-			Next:     func(random *rand.Rand, _ int) loadgen.Shot { return status.Lookup(random, f.Entries) },
+			Next:     func(random *rand.Rand, _ time.Duration) loadgen.Shot { return status.Lookup(random, f.Entries) },
 		}
 		return generator.Run(ctx)
 	}
