--- a/measure/app/app.go
+++ b/measure/app/app.go
@@ -7,7 +7,11 @@
 
 	"poplarworks/measure/added"
 	"poplarworks/measure/chaos"
+	"poplarworks/measure/crest"
 	"poplarworks/measure/doccheck"
+	"poplarworks/measure/faulty"
+	"poplarworks/measure/probing"
+	"poplarworks/measure/shortlong"
 	"poplarworks/measure/tail"
 )
 
@@ -19,7 +23,11 @@
 		Commands: []*cli.Command{
 			added.Command(),
 			chaos.Command(),
+			crest.Command(),
 			doccheck.Command(),
+			faulty.Command(),
+			probing.Command(),
+			shortlong.Command(),
 			tail.Command(),
 		},
 	}
--- /dev/null
+++ b/measure/faulty/doc.go
@@ -0,0 +1,2 @@
+// Package faulty compares pickers while targets and entries fail, one fault at a time and two at once.
+package faulty
--- /dev/null
+++ b/measure/probing/command.go
@@ -0,0 +1,117 @@
+package probing
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"poplarworks/measure/fleet"
+	"poplarworks/measure/loadgen"
+	"poplarworks/measure/report"
+)
+
+const (
+	targets     = 18
+	slots       = 6
+	cost        = 6 * time.Millisecond
+	budget      = 300 * time.Millisecond // for each target and second
+	lookupRate  = 300
+	betweenKill = 1500 * time.Millisecond
+)
+
+// Command returns the experiment.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "probes",
+		Usage: "probes at Gelo's targets (6 ms each) while entries are restarted and split from each other",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "entries", Value: 6},
+			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	f, err := fleet.Start(fleet.Plan{
+		Entries:     c.Int("entries"),
+		PeerProxies: true,
+		Groups: []fleet.Group{{
+			Name: "ice-edge", Count: targets, Slots: slots, Connections: 260, Work: 5 * time.Millisecond,
+			ConnectCost: time.Millisecond, ProbeCost: cost, ReportLag: 20 * time.Millisecond,
+		}},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	fields := fmt.Sprintf(`"capacity": {"slots": %d, "connections": 260, "max-entries": %d}, "probe": {"path": "/load", "cost": %q, "budget": %q}`,
+		slots, c.Int("entries"), cost, budget)
+	err = f.Put(f.Groups[0].Service(fields),
+		`{"schema": 2, "kind": "rule", "name": "ice", "service": "ice-edge", "match": {"path-prefix": "/ice"}, "idempotent": true, "deadline": "2s"}`)
+	if err != nil {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx, c.Duration("duration"))
+	defer cancel()
+	go disturb(bounded, f, rand.New(rand.NewPCG(c.Uint64("seed"), 1)))
+	generator := &loadgen.Generator{
+		Rate: func(time.Duration) float64 { return lookupRate }, Duration: c.Duration("duration"), Seed: c.Uint64("seed"),
+		Next: func(random *rand.Rand, _ time.Duration) loadgen.Shot {
+			e := f.Entries[random.IntN(len(f.Entries))]
+			return loadgen.Shot{Class: "lookup", Method: "GET", URL: e.CallerURL + "/ice/1", Deadline: 2 * time.Second}
+		},
+	}
+	generator.Run(bounded)
+	return judge(c, f)
+}
+
+// disturb kills, restarts and splits entries until the time is up.
+func disturb(ctx context.Context, f *fleet.Fleet, random *rand.Rand) {
+	for ctx.Err() == nil {
+		e := f.Entries[random.IntN(len(f.Entries))]
+		for _, l := range e.PeerLinks {
+			l.Cut()
+		}
+		if random.IntN(2) == 0 {
+			e.Kill()
+			if err := e.Start(); err != nil {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(betweenKill):
+		}
+		for _, l := range e.PeerLinks {
+			_ = l.Mend()
+		}
+	}
+}
+
+func judge(c *cli.Command, f *fleet.Fleet) error {
+	out := c.Root().Writer
+	peaks, err := f.Groups[0].Peaks()
+	if err != nil {
+		return err
+	}
+	worst, sum := 0, 0
+	for _, peak := range peaks {
+		worst = max(worst, peak)
+		sum += peak
+	}
+	_, _ = fmt.Fprintf(out, "most probes within one second at any target: %d, mean of the targets' peaks: %.1f, budget: %d\n",
+		worst, float64(sum)/float64(max(1, len(peaks))), int(budget/cost))
+	verdict := &report.Verdict{Out: out}
+	verdict.AtMost("target time for probes in the worst second, ms", float64(worst)*float64(cost.Milliseconds()), float64(budget.Milliseconds()))
+	verdict.AtLeast("probes in the worst second, for the experiment to mean anything", float64(worst), 1)
+	if verdict.Missed() > 0 {
+		return cli.Exit(strconv.Itoa(verdict.Missed())+" bounds were missed", 1)
+	}
+	return nil
+}
--- /dev/null
+++ b/measure/probing/doc.go
@@ -0,0 +1,2 @@
+// Package probing counts the probes that targets see, against their budget.
+package probing
--- /dev/null
+++ b/measure/shortlong/command.go
@@ -0,0 +1,105 @@
+package shortlong
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"poplarworks/measure/bench"
+	"poplarworks/measure/loadgen"
+	"poplarworks/measure/report"
+	"poplarworks/measure/scenario"
+	"poplarworks/measure/tally"
+)
+
+const (
+	longFactor = 50   // times that a download runs longer than a lookup
+	longShare  = 0.05 // of all requests
+	load       = 0.4  // of the slots, downloads included
+	bound      = 1.3  // short p99 with long work against that without
+
+	buildRule = `{"schema": 2, "kind": "rule", "name": "build", "service": "status-reading",
+		"match": {"methods": ["GET"], "path-prefix": "/builds"}, "idempotent": true, "class": "long", "deadline": "30s"}`
+)
+
+// Command returns the experiment.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "short-long",
+		Usage: "short lookups with and without 5% of downloads that run 50 times longer",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "entries", Value: 3},
+			&cli.DurationFlag{Name: "duration", Value: 15 * time.Second},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	out := c.Root().Writer
+	table := &report.Table{
+		Title:   fmt.Sprintf("Lookups beside downloads, %.0f%% of the slots busy, seed %d, %d entries", 100*load, c.Uint64("seed"), c.Int("entries")),
+		Heading: []string{"picker", "downloads", "lookups", "p50", "p99", "p99.9", "downloads served"},
+	}
+	tails := map[string][2]time.Duration{}
+	for _, picker := range []string{bench.Product, bench.LeastOfTwo, bench.RoundRobin} {
+		var pair [2]time.Duration
+		for i, long := range []bool{false, true} {
+			result, err := measure(ctx, c, picker, long)
+			if err != nil {
+				return err
+			}
+			short := result.Class("lookup")
+			pair[i] = short.Quantile(99)
+			table.Row(picker, long, short.Sent, short.Quantile(50), pair[i], short.Quantile(99.9), result.Class("build").Share())
+		}
+		tails[picker] = pair
+	}
+	table.Print(out)
+	verdict := &report.Verdict{Out: out}
+	own := tails[bench.Product]
+	verdict.AtMost("short p99 with downloads against without", float64(own[1])/float64(own[0]), bound)
+	if verdict.Missed() > 0 {
+		return cli.Exit(strconv.Itoa(verdict.Missed())+" bounds were missed", 1)
+	}
+	return nil
+}
+
+func measure(ctx context.Context, c *cli.Command, picker string, long bool) (*tally.Result, error) {
+	b := &bench.Bench{
+		Status:  scenario.Status{Seed: c.Uint64("seed")},
+		Picker:  picker,
+		Entries: c.Int("entries"),
+		Rules:   []string{buildRule},
+	}
+	if err := b.Start(); err != nil {
+		return nil, err
+	}
+	defer b.Stop()
+	// Of all requests, downloads are longShare; together they keep the share of slots busy that load names.
+	total := load * b.Status.Capacity() / (1 - longShare + longShare*longFactor)
+	rate, next := (1-longShare)*total, b.Lookup
+	if long {
+		rate, next = total, func(random *rand.Rand) loadgen.Shot { return mixed(b, random) }
+	}
+	b.Settle(ctx, rate)
+	return b.Offer(ctx, c.Duration("duration"), 0, bench.Steady(rate), next), nil
+}
+
+func mixed(b *bench.Bench, random *rand.Rand) loadgen.Shot {
+	if random.Float64() >= longShare {
+		return b.Lookup(random)
+	}
+	e := b.Fleet.Entries[random.IntN(len(b.Fleet.Entries))]
+	return loadgen.Shot{
+		Class:    "build",
+		Method:   "GET",
+		URL:      fmt.Sprintf("%s/builds/%d?work=%s", e.CallerURL, random.IntN(100), longFactor*scenario.StatusWork),
+		Deadline: 30 * time.Second,
+	}
+}
--- a/measure/tail/command.go
+++ b/measure/tail/command.go
@@ -3,25 +3,18 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
-	"poplarworks/measure/fleet"
-	"poplarworks/measure/loadgen"
+	"poplarworks/measure/bench"
 	"poplarworks/measure/report"
 	"poplarworks/measure/scenario"
 	"poplarworks/measure/tally"
 )
 
 const (
-	product    = "power-of-d"
-	oracle     = "oracle"
-	roundRobin = "round-robin"
-	leastOfTwo = "least-of-two"
-
 	oracleFactor     = 1.25 // bound on the product's tail against the oracle's
 	roundRobinFactor = 0.5  // and against round robin's
 )
@@ -35,7 +28,7 @@
 			&cli.IntFlag{Name: "entries", Value: 3},
 			&cli.DurationFlag{Name: "duration", Value: 15 * time.Second, Usage: "of each picker at each load"},
 			&cli.IntSliceFlag{Name: "load", Value: []int{60, 75, 90}, Usage: "percent of capacity"},
-			&cli.StringSliceFlag{Name: "picker", Value: []string{product, leastOfTwo, "random", roundRobin, oracle}},
+			&cli.StringSliceFlag{Name: "picker", Value: []string{bench.Product, bench.LeastOfTwo, bench.Random, bench.RoundRobin, bench.Oracle}},
 			&cli.Uint64Flag{Name: "seed", Value: 1},
 			&cli.BoolFlag{Name: "exponential", Usage: "spread slot times exponentially"},
 			&cli.FloatFlag{Name: "hedge", Usage: "share of lookups that the product may hedge; the baselines never do"},
@@ -72,50 +65,32 @@
 }
 
 func measure(ctx context.Context, c *cli.Command, picker string, load float64) (*tally.Class, error) {
-	status := scenario.Status{Noisy: true, Exponential: c.Bool("exponential"), Seed: c.Uint64("seed")}
-	f, err := fleet.Start(fleet.Plan{
-		Entries:     c.Int("entries"),
-		Groups:      []fleet.Group{status.Group()},
-		Picker:      picker,
-		Choices:     c.Int("choices"),
-		OracleGroup: "status-reading",
-		NoAsserts:   true,
-	})
-	if err != nil {
-		return nil, err
-	}
-	defer f.Stop()
-	hedges := 0.0
-	if picker == product {
-		hedges = c.Float("hedge")
+	b := &bench.Bench{
+		Status:  scenario.Status{Noisy: true, Exponential: c.Bool("exponential"), Seed: c.Uint64("seed")},
+		Picker:  picker,
+		Choices: c.Int("choices"),
+		Entries: c.Int("entries"),
 	}
-	if err := f.Put(f.Groups[0].Service(status.ServiceFields(c.Int("entries"))), status.Rule(hedges)); err != nil {
-		return nil, err
+	if picker == bench.Product {
+		b.Hedges = c.Float("hedge")
 	}
-	if _, err := f.InForce(2, 5*time.Second); err != nil {
+	if err := b.Start(); err != nil {
 		return nil, err
 	}
-	offer := func(span time.Duration) *tally.Result {
-		generator := &loadgen.Generator{
-			Rate:     func(time.Duration) float64 { return load * status.Capacity() },
-			Duration: span,
-			Seed:     c.Uint64("seed"),
-			Next:     func(random *rand.Rand, _ time.Duration) loadgen.Shot { return status.Lookup(random, f.Entries) },
-		}
-		return generator.Run(ctx)
-	}
-	offer(2 * time.Second) // connections and estimates settle
-	return offer(c.Duration("duration")).Class("lookup"), nil
+	defer b.Stop()
+	rate := load * b.Status.Capacity()
+	b.Settle(ctx, rate)
+	return b.Offer(ctx, c.Duration("duration"), 0, bench.Steady(rate), b.Lookup).Class("lookup"), nil
 }
 
 // judge holds the product's tail against the baselines that ran beside it.
 func judge(verdict *report.Verdict, load int, results map[string]*tally.Class) {
-	own, ok := results[product]
+	own, ok := results[bench.Product]
 	if !ok {
 		return
 	}
 	for _, quantile := range []float64{99, 99.9} {
-		for name, factor := range map[string]float64{oracle: oracleFactor, roundRobin: roundRobinFactor, leastOfTwo: 1} {
+		for name, factor := range map[string]float64{bench.Oracle: oracleFactor, bench.RoundRobin: roundRobinFactor, bench.LeastOfTwo: 1} {
 			baseline, ok := results[name]
 			if !ok {
 				continue
