--- a/measure/app/app.go
+++ b/measure/app/app.go
@@ -12,6 +12,7 @@
 	"poplarworks/measure/faulty"
 	"poplarworks/measure/probing"
 	"poplarworks/measure/shortlong"
+	"poplarworks/measure/slopes"
 	"poplarworks/measure/tail"
 )
 
@@ -28,6 +29,7 @@
 			faulty.Command(),
 			probing.Command(),
 			shortlong.Command(),
+			slopes.Command(),
 			tail.Command(),
 		},
 	}
--- /dev/null
+++ b/measure/fit/doc.go
@@ -0,0 +1,2 @@
+// Package fit draws a straight line through measured points.
+package fit
