Probe every target after a pause; split the harness's types

The bound is 2 s. An entry that resumes while its links to peers are broken hears no notice, and its own knowledge is as old as the pause.

Change: after a pause every target is probed once within the budget, and new decisions wait 0.15 s. The harness's plan, troubles, executions and summaries have packages of their own; callers of the load generator tell how much of their patience is left.

--- /dev/null
+++ b/core/balancer/leaving_test.go
@@ -0,0 +1,60 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"poplarworks/core/outcome"
+	"poplarworks/core/stop"
+)
+
+func TestStoppedAndLeavingTargetsGetNoNewWork(t *testing.T) {
+	planned := stop.Stop{Service: "s", Target: "t1"}
+	scenarios := []struct {
+		name  string
+		leave func(d *driver)
+	}{
+		{"a planned stop", func(d *driver) { d.Stop(d.now, []stop.Stop{planned}) }},
+		{"a peer's notice", func(d *driver) { d.Leave(d.now, "t1") }},
+		{"the target's own sign", func(d *driver) {
+			sent := d.submit(d.rule)
+			for sent.Name != "t1" {
+				sent = d.submit(d.rule)
+			}
+			d.Finish(d.now, sent.ID, outcome.Outcome{Kind: outcome.Answered, Latency: time.Millisecond, Draining: true})
+		}},
+		{"a probe", func(d *driver) { d.Probed(d.now, "t1", 0, true) }},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			d := drive(t, record(3, 50))
+			s.leave(d)
+			if counts := d.serve(100, nil); counts["t1"] != 0 {
+				t.Errorf("got %d requests at the target, want none", counts["t1"])
+			}
+		})
+	}
+}
+
+func TestLeavingIsStickyUntilTheTargetWasAway(t *testing.T) {
+	d := drive(t, record(2, 50))
+	d.Leave(d.now, "t1")
+	d.Checked(d.now, "t1", true, false)
+	if counts := d.serve(50, nil); counts["t1"] != 0 {
+		t.Errorf("got %d requests although the target never went away, want none", counts["t1"])
+	}
+	d.Checked(d.now, "t1", false, false)
+	d.Checked(d.now, "t1", true, false)
+	if counts := d.serve(2000, nil); counts["t1"] == 0 {
+		t.Error("got no request at the target's new incarnation, want some")
+	}
+}
+
+func TestAStopThatIsWithdrawnBringsWorkBack(t *testing.T) {
+	d := drive(t, record(2, 50))
+	d.Stop(d.now, []stop.Stop{{Service: "s", Target: "t1"}})
+	d.Stop(d.now, nil)
+	if counts := d.serve(200, nil); counts["t1"] == 0 {
+		t.Error("got no request after the stop was withdrawn, want some")
+	}
+}
--- a/core/balancer/probes.go
+++ b/core/balancer/probes.go
@@ -30,6 +30,18 @@
 	return "", netip.AddrPort{}, false
 }
 
+// ProbeAll takes one probe for each target out of the budget and names those that may be probed, for an entry that has
+// been paused and knows nothing of what happened meanwhile.
+func (b *Balancer) ProbeAll(now time.Time) map[string]netip.AddrPort {
+	due := map[string]netip.AddrPort{}
+	for _, t := range b.targets {
+		if !t.removed && !t.stopped && t.machine.State() != lifecycle.Leaving && t.probes.Take(now) {
+			due[t.record.Name] = t.record.Address
+		}
+	}
+	return due
+}
+
 // Probed takes the answer to a probe; a probe that failed says nothing of the load.
 func (b *Balancer) Probed(now time.Time, name string, inFlight int, draining bool) {
 	i, ok := b.byName[name]
--- a/core/breaker/breaker_test.go
+++ b/core/breaker/breaker_test.go
@@ -34,7 +34,9 @@
 		t.Fatal("got refused after the second wait, want a look")
 	}
 	b.Success()
-	if !b.Allow(now) || !b.Allow(now) {
-		t.Error("got refused after a success, want allowed")
+	for range 2 {
+		if !b.Allow(now) {
+			t.Error("got refused after a success, want allowed")
+		}
 	}
 }
--- a/entry/claims/keeper_test.go
+++ b/entry/claims/keeper_test.go
@@ -79,7 +79,7 @@
 }
 
 func (r *rig) fault(text string) {
-	request, _ := http.NewRequest(http.MethodPut, r.url+"/control/fault/table", strings.NewReader(text))
+	request, _ := http.NewRequestWithContext(context.Background(), http.MethodPut, r.url+"/control/fault/table", strings.NewReader(text))
 	reply, err := http.DefaultClient.Do(request)
 	if err != nil {
 		r.t.Fatal(err)
--- a/entry/dispatch/directory.go
+++ b/entry/dispatch/directory.go
@@ -132,6 +132,11 @@
 	return d.changes.Load()
 }
 
+// Stalls counts the pauses of this process that were noticed.
+func (d *Directory) Stalls() int {
+	return d.stall.count(d.Now())
+}
+
 // Share returns the connections that this entry may hold to the address.
 func (d *Directory) Share(address netip.AddrPort) int {
 	d.mu.RLock()
--- a/entry/dispatch/stall.go
+++ b/entry/dispatch/stall.go
@@ -10,7 +10,7 @@
 
 const (
 	stallGap    = 4 * tickInterval
-	stallSettle = 100 * time.Millisecond
+	stallSettle = 150 * time.Millisecond
 )
 
 // stallGuard holds requests back for a moment after this process was paused: peers' notices that came meanwhile, such as
@@ -27,6 +27,13 @@
 	return g.detector.Look(now)
 }
 
+func (g *stallGuard) count(now time.Time) int {
+	g.look(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.detector.Count()
+}
+
 // wait returns at once unless the process has just been paused.
 func (g *stallGuard) wait(ctx context.Context, now time.Time) {
 	until := g.look(now)
--- a/entry/exchange/failure_test.go
+++ b/entry/exchange/failure_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -310,9 +311,16 @@
 		}
 		_, _ = fmt.Fprint(w, r.URL.Path)
 	})
+	var group sync.WaitGroup
+	defer group.Wait()
 	for i := range 50 {
 		slow, fast := fmt.Sprintf("/status/slow%d", i), fmt.Sprintf("/status/fast%d", i)
-		go r.send("GET", slow, "", "Poplar-Deadline-Ms", "50")
+		late, err := http.NewRequestWithContext(t.Context(), "GET", r.url+slow, http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		late.Header.Set("Poplar-Deadline-Ms", "50")
+		group.Go(func() { r.do(late) })
 		if got := r.send("GET", fast, ""); got.status == 200 && got.body != fast {
 			t.Fatalf("got %q, want %q", got.body, fast)
 		}
--- a/entry/exchange/http_test.go
+++ b/entry/exchange/http_test.go
@@ -75,7 +75,7 @@
 
 func TestRawRequests(t *testing.T) {
 	bodies := make(chan string, 10)
-	r := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+	r := newRig(t, func(_ http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		bodies <- fmt.Sprintf("%q %v length %d", body, err, r.ContentLength)
 	})
@@ -165,7 +165,7 @@
 		w.Header().Set("Sum", "42")
 	})
 	for _, path := range []string{"/status", "/builds"} {
-		request, _ := http.NewRequest("POST", r.url+path, io.NopCloser(strings.NewReader("x")))
+		request, _ := http.NewRequestWithContext(t.Context(), "POST", r.url+path, io.NopCloser(strings.NewReader("x")))
 		request.Trailer = http.Header{"Check": {"7"}}
 		got, err := r.client.Do(request)
 		if err != nil {
@@ -194,7 +194,7 @@
 		}
 	})
 	reader, writer := io.Pipe()
-	request, _ := http.NewRequest("POST", r.url+"/builds", reader)
+	request, _ := http.NewRequestWithContext(t.Context(), "POST", r.url+"/builds", reader)
 	go func() { _, _ = io.WriteString(writer, "one") }()
 	got, err := r.client.Do(request)
 	if err != nil {
@@ -215,7 +215,7 @@
 
 func TestContinueIsAnsweredBeforeTheBody(t *testing.T) {
 	r := newRig(t, echo)
-	request, _ := http.NewRequest("POST", r.url+"/status", strings.NewReader("abc"))
+	request, _ := http.NewRequestWithContext(t.Context(), "POST", r.url+"/status", strings.NewReader("abc"))
 	request.Header.Set("Expect", "100-continue")
 	r.client.Transport = &http.Transport{ExpectContinueTimeout: 10 * time.Second}
 	begun := time.Now()
--- a/entry/exchange/rig_test.go
+++ b/entry/exchange/rig_test.go
@@ -168,7 +168,7 @@
 
 func (r *rig) send(method, path, body string, fields ...string) reply {
 	r.t.Helper()
-	request, err := http.NewRequest(method, r.url+path, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(r.t.Context(), method, r.url+path, strings.NewReader(body))
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -181,7 +181,7 @@
 // raw sends bytes as they are and returns the status line and the header of the answer.
 func (r *rig) raw(text string) string {
 	r.t.Helper()
-	socket, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	socket, err := (&net.Dialer{}).DialContext(r.t.Context(), "tcp", strings.TrimPrefix(r.url, "http://"))
 	if err != nil {
 		r.t.Fatal(err)
 	}
--- a/entry/prober/prober.go
+++ b/entry/prober/prober.go
@@ -29,6 +29,7 @@
 
 type services interface {
 	All() map[string]*dispatch.Service
+	Stalls() int
 }
 
 type targets interface {
@@ -47,6 +48,7 @@
 // Run probes until the context ends.
 func (p *Prober) Run(ctx context.Context) {
 	p.dueAt = map[string]time.Time{}
+	stalls := 0
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -55,6 +57,10 @@
 			return
 		case <-ticker.C:
 		}
+		if count := p.Services.Stalls(); count > stalls {
+			stalls = count
+			p.probeAll(ctx)
+		}
 		now := p.Now()
 		for name, s := range p.Services.All() {
 			if now.Before(p.dueAt[name]) {
@@ -88,15 +94,28 @@
 	if !due {
 		return
 	}
-	p.Counter("probes.sent").Inc(1)
-	go func() {
-		inFlight, draining, err := p.ask(ctx, s, address)
-		if err != nil {
-			p.Counter("probes.failed").Inc(1)
-			return
+	go p.probe(ctx, s, name, address)
+}
+
+// probeAll looks at every target after a pause: one may have begun to leave, and the peers' notice may be lost.
+func (p *Prober) probeAll(ctx context.Context) {
+	for _, s := range p.Services.All() {
+		var due map[string]netip.AddrPort
+		s.Do(func(b *balancer.Balancer, now time.Time) { due = b.ProbeAll(now) })
+		for name, address := range due {
+			go p.probe(ctx, s, name, address)
 		}
-		s.Do(func(b *balancer.Balancer, now time.Time) { b.Probed(now, name, inFlight, draining) })
-	}()
+	}
+}
+
+func (p *Prober) probe(ctx context.Context, s *dispatch.Service, name string, address netip.AddrPort) {
+	p.Counter("probes.sent").Inc(1)
+	inFlight, draining, err := p.ask(ctx, s, address)
+	if err != nil {
+		p.Counter("probes.failed").Inc(1)
+		return
+	}
+	s.Do(func(b *balancer.Balancer, now time.Time) { b.Probed(now, name, inFlight, draining) })
 }
 
 // checkLeaving looks at a target that is leaving: a new incarnation may have come up there.
--- a/entry/records/keeper_test.go
+++ b/entry/records/keeper_test.go
@@ -66,7 +66,7 @@
 func alone([]record.Record) {}
 
 func (r *rig) fault(part, text string) {
-	request, _ := http.NewRequest(http.MethodPut, r.url+"/control/fault/"+part, strings.NewReader(text))
+	request, _ := http.NewRequestWithContext(context.Background(), http.MethodPut, r.url+"/control/fault/"+part, strings.NewReader(text))
 	reply, err := http.DefaultClient.Do(request)
 	if err != nil {
 		r.t.Fatal(err)
--- a/entry/settings/settings_test.go
+++ b/entry/settings/settings_test.go
@@ -36,7 +36,7 @@
 		want string
 	}{
 		{"no name", replace(`"name": "entry-1",`, ""), "name: expected a string that is not empty"},
-		{"an unknown field", replace(`"name"`, `"nmae": 1, "name"`), "file:2: nmae: unknown field"},
+		{"an unknown field", replace(`"name"`, `"nome": 1, "name"`), "file:2: nome: unknown field"},
 		{"an unknown field of a part", replace(`{"address": "127.0.0.1:9000"`, `{"port": 1, "address": "127.0.0.1:9000"`), "file:3: callers.port: unknown field"},
 		{"no callers' address", replace(`"callers": {"address": "127.0.0.1:9000"},`, ""), "callers.address: expected an IP address"},
 		{"a number as an address", replace(`"127.0.0.1:9000"`, "9000"), "callers.address: expected a string"},
--- a/entry/target/report_test.go
+++ b/entry/target/report_test.go
@@ -10,10 +10,10 @@
 		ok    bool
 	}{
 		{"a report", "TEXT named_metrics.in_flight=3,named_metrics.slots=6", 3, true},
-		{"another order", "TEXT cpu_utilization=0.5, named_metrics.in_flight=7", 7, true},
+		{"another order", "TEXT rps=0.5, named_metrics.in_flight=7", 7, true},
 		{"none", "", 0, false},
 		{"another format", `JSON {"named_metrics": {"in_flight": 3}}`, 0, false},
-		{"no such metric", "TEXT cpu_utilization=0.5", 0, false},
+		{"no such metric", "TEXT rps=0.5", 0, false},
 		{"no number", "TEXT named_metrics.in_flight=x", 0, false},
 		{"a negative number", "TEXT named_metrics.in_flight=-1", 0, false},
 		{"a number that cannot be", "TEXT named_metrics.in_flight=1e300", 0, false},
--- a/measure/added/command.go
+++ b/measure/added/command.go
@@ -13,6 +13,7 @@
 
 	"poplarworks/measure/fleet"
 	"poplarworks/measure/loadgen"
+	"poplarworks/measure/plan"
 	"poplarworks/measure/report"
 	"poplarworks/measure/tally"
 )
@@ -71,12 +72,12 @@
 }
 
 func start(c *cli.Command) (*bench, error) {
-	f, err := fleet.Start(fleet.Plan{
+	f, err := fleet.Start(plan.Plan{
 		Entries:   1,
 		Cores:     c.Int("cores"),
 		NoAsserts: true,
 		LogLevel:  "warning",
-		Groups: []fleet.Group{{
+		Groups: []plan.Group{{
 			Name: "echo", Count: targets, Slots: slots, Queue: slots, Connections: connections, Work: time.Nanosecond, ReportLag: 20 * time.Millisecond,
 		}},
 	})
--- a/measure/bench/bench.go
+++ b/measure/bench/bench.go
@@ -7,6 +7,7 @@
 
 	"poplarworks/measure/fleet"
 	"poplarworks/measure/loadgen"
+	"poplarworks/measure/plan"
 	"poplarworks/measure/scenario"
 	"poplarworks/measure/tally"
 )
@@ -39,9 +40,9 @@
 
 // Start runs the fleet and puts the records.
 func (b *Bench) Start() error {
-	f, err := fleet.Start(fleet.Plan{
+	f, err := fleet.Start(plan.Plan{
 		Entries:     b.Entries,
-		Groups:      []fleet.Group{b.Status.Group()},
+		Groups:      []plan.Group{b.Status.Group()},
 		Picker:      b.Picker,
 		Choices:     b.Choices,
 		OracleGroup: b.Status.Group().Name,
--- a/measure/chaos/check.go
+++ b/measure/chaos/check.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"poplarworks/measure/fleet"
+	"poplarworks/measure/execution"
 )
 
 const leaveLimit = 2 * time.Second // from the sign to the last new work
@@ -12,7 +12,7 @@
 // check holds the history against the targets' execution logs.
 func (r *Run) check() (*Report, error) {
 	report := &Report{Seed: r.Seed, Counts: r.history.counts, Breaches: r.history.wrong}
-	var executions []fleet.Execution
+	var executions []execution.Execution
 	for _, g := range r.fleet.Groups {
 		list, err := g.Executions()
 		if err != nil {
@@ -44,9 +44,9 @@
 }
 
 // runTwice finds keys that ran more than once.
-func runTwice(executions []fleet.Execution) []string {
+func runTwice(executions []execution.Execution) []string {
 	var breaches []string
-	first := map[string]fleet.Execution{}
+	first := map[string]execution.Execution{}
 	for _, e := range executions {
 		if e.Key == "" {
 			continue
@@ -66,9 +66,9 @@
 }
 
 // toldNotRun finds sends whose caller was told "not run" although they ran, or although their key had run before.
-func toldNotRun(sends []send, executions []fleet.Execution) []string {
+func toldNotRun(sends []send, executions []execution.Execution) []string {
 	var breaches []string
-	byToken, byKey := map[string]fleet.Execution{}, map[string]fleet.Execution{}
+	byToken, byKey := map[string]execution.Execution{}, map[string]execution.Execution{}
 	for _, e := range executions {
 		byToken[e.Token] = e
 		if e.Key != "" {
@@ -91,7 +91,7 @@
 }
 
 // afterLeaving finds new work at targets that had been leaving for longer than the limit.
-func afterLeaving(leaves []leave, executions []fleet.Execution) []string {
+func afterLeaving(leaves []leave, executions []execution.Execution) []string {
 	var breaches []string
 	for _, l := range leaves {
 		for _, e := range executions {
@@ -105,7 +105,7 @@
 }
 
 // cutByStops finds work that was in flight when the status of its target's stop said drained.
-func cutByStops(leaves []leave, executions []fleet.Execution) []string {
+func cutByStops(leaves []leave, executions []execution.Execution) []string {
 	var breaches []string
 	for _, l := range leaves {
 		if l.drained.IsZero() {
--- a/measure/chaos/faults.go
+++ b/measure/chaos/faults.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"poplarworks/measure/fleet"
 	"poplarworks/measure/link"
+	"poplarworks/measure/trouble"
 )
 
 // faults keeps two injectors from working on the same thing at once.
@@ -142,7 +142,7 @@
 		return
 	}
 	defer r.faults.give(part)
-	fault := []fleet.Fault{
+	fault := []trouble.Platform{
 		{Outage: true},
 		{Hang: true},
 		{DelayMilliseconds: 50 + random.IntN(400)},
@@ -152,7 +152,7 @@
 	r.history.count("platform " + part + " broken")
 	_ = r.fleet.Platform(part, fault)
 	wait(ctx, between(random, 300*time.Millisecond, 5*time.Second))
-	_ = r.fleet.Platform(part, fleet.Fault{})
+	_ = r.fleet.Platform(part, trouble.Platform{})
 }
 
 func (r *Run) breakTarget(ctx context.Context, random *rand.Rand) {
@@ -162,11 +162,11 @@
 		return
 	}
 	defer r.faults.give(g.TargetName(i))
-	fault := []fleet.Faults{{SlowFactor: 10}, {FailFast: true}, {Shed: true}, {Lie: true}, {Hang: true}}[random.IntN(5)]
+	fault := []trouble.Target{{SlowFactor: 10}, {FailFast: true}, {Shed: true}, {Lie: true}, {Hang: true}}[random.IntN(5)]
 	r.history.count("targets broken")
 	_ = g.SetFaults(i, fault)
 	wait(ctx, between(random, 300*time.Millisecond, 3*time.Second))
-	_ = g.SetFaults(i, fleet.Faults{})
+	_ = g.SetFaults(i, trouble.Target{})
 }
 
 func (r *Run) crashTarget(_ context.Context, random *rand.Rand) {
--- a/measure/chaos/history.go
+++ b/measure/chaos/history.go
@@ -34,13 +34,12 @@
 
 // history collects what happened; it is safe for concurrent use.
 type history struct {
-	mu       sync.Mutex
-	sends    []send
-	leaves   []leave
-	writes   []write
-	wrong    []string // answers that were not whole or not the caller's own, and revisions that fell
-	counts   map[string]int
-	lastSeen map[string]uint64
+	mu     sync.Mutex
+	sends  []send
+	leaves []leave
+	writes []write
+	wrong  []string // answers that were not whole or not the caller's own, and revisions that fell
+	counts map[string]int
 }
 
 func (h *history) addSend(s send) {
--- a/measure/chaos/run.go
+++ b/measure/chaos/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"poplarworks/measure/fleet"
+	"poplarworks/measure/plan"
 )
 
 const (
@@ -31,7 +32,7 @@
 
 // Do runs and returns the report.
 func (r *Run) Do(ctx context.Context) (*Report, error) {
-	f, err := fleet.Start(fleet.Plan{
+	f, err := fleet.Start(plan.Plan{
 		Entries:      r.Entries,
 		Groups:       groups(r.Seed),
 		VMListLag:    500 * time.Millisecond,
@@ -55,15 +56,15 @@
 	return report, nil
 }
 
-func groups(seed uint64) []fleet.Group {
-	common := fleet.Group{
+func groups(seed uint64) []plan.Group {
+	common := plan.Group{
 		Count: 4, Slots: 6, Queue: 40, Work: 4 * time.Millisecond, ConnectCost: time.Millisecond,
 		ReportLag: 10 * time.Millisecond, Restart: 700 * time.Millisecond, ColdFor: time.Second, ColdFactor: 3,
 		NoiseQuiet: 200 * time.Millisecond, NoiseNoisy: 30 * time.Millisecond, NoiseFactor: 5, Seed: seed,
 	}
 	status, fees := common, common
 	status.Name, fees.Name = "status", "fees"
-	return []fleet.Group{status, fees}
+	return []plan.Group{status, fees}
 }
 
 func (r *Run) prepare() error {
--- a/measure/chaos/stops.go
+++ b/measure/chaos/stops.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"poplarworks/measure/fleet"
+	"poplarworks/measure/trouble"
 )
 
 const (
@@ -25,11 +26,11 @@
 		}
 		r.history.count("targets drained by their sign")
 		from := time.Now()
-		_ = g.SetFaults(i, fleet.Faults{Drain: true})
+		_ = g.SetFaults(i, trouble.Target{Drain: true})
 		wait(ctx, between(random, 3*time.Second, 5*time.Second))
 		r.history.addLeave(leave{target: g.TargetName(i), from: from, until: time.Now()})
 		_ = g.Crash(i)
-		_ = g.SetFaults(i, fleet.Faults{})
+		_ = g.SetFaults(i, trouble.Target{})
 		r.faults.give(g.TargetName(i))
 	}
 }
--- /dev/null
+++ b/measure/execution/doc.go
@@ -0,0 +1,2 @@
+// Package execution is what a stand-in target ran.
+package execution
--- /dev/null
+++ b/measure/execution/execution.go
@@ -0,0 +1,15 @@
+package execution
+
+import "time"
+
+// Execution is one run of one request at one target.
+type Execution struct {
+	Target   string    `json:"target"`
+	Key      string    `json:"key"`
+	Token    string    `json:"token"`
+	Method   string    `json:"method"`
+	Started  time.Time `json:"started"`
+	Finished time.Time `json:"finished"`
+	Whole    bool      `json:"whole"`
+	Drained  bool      `json:"drained"`
+}
--- a/measure/faulty/command.go
+++ b/measure/faulty/command.go
@@ -9,11 +9,11 @@
 	"github.com/urfave/cli/v3"
 
 	"poplarworks/measure/bench"
-	"poplarworks/measure/fleet"
 	"poplarworks/measure/loadgen"
 	"poplarworks/measure/report"
 	"poplarworks/measure/scenario"
 	"poplarworks/measure/tally"
+	"poplarworks/measure/trouble"
 )
 
 const (
@@ -30,7 +30,7 @@
 	end   func(b *bench.Bench) error
 }
 
-func target(i int, faults fleet.Faults) func(b *bench.Bench) error {
+func target(i int, faults trouble.Target) func(b *bench.Bench) error {
 	return func(b *bench.Bench) error { return b.Groups[0].SetFaults(i, faults) }
 }
 
@@ -41,7 +41,7 @@
 func none(*bench.Bench) error { return nil }
 
 func faults() []fault {
-	healthy := fleet.Faults{}
+	healthy := trouble.Target{}
 	kill := func(b *bench.Bench) error { b.Fleet.Entries[2].Kill(); return nil }
 	revive := func(b *bench.Bench) error { return b.Fleet.Entries[2].Start() }
 	both := func(one, two func(b *bench.Bench) error) func(b *bench.Bench) error {
@@ -52,15 +52,15 @@
 			return two(b)
 		}
 	}
-	slow, fast := target(0, fleet.Faults{SlowFactor: slowTimes}), target(1, fleet.Faults{FailFast: true})
+	slow, fast := target(0, trouble.Target{SlowFactor: slowTimes}), target(1, trouble.Target{FailFast: true})
 	return []fault{
 		{"none", none, none},
 		{"straggler", slow, target(0, healthy)},
 		{"fails fast", fast, target(1, healthy)},
 		{"crash", crash(2), none},
-		{"drain", target(3, fleet.Faults{Drain: true}), both(crash(3), target(3, healthy))},
-		{"lies and is slow", target(4, fleet.Faults{Lie: true, SlowFactor: slowTimes}), target(4, healthy)},
-		{"hangs", target(5, fleet.Faults{Hang: true}), target(5, healthy)},
+		{"drain", target(3, trouble.Target{Drain: true}), both(crash(3), target(3, healthy))},
+		{"lies and is slow", target(4, trouble.Target{Lie: true, SlowFactor: slowTimes}), target(4, healthy)},
+		{"hangs", target(5, trouble.Target{Hang: true}), target(5, healthy)},
 		{"entry killed", kill, revive},
 		{"straggler and fails fast", both(slow, fast), both(target(0, healthy), target(1, healthy))},
 		{"crash and entry killed", both(crash(2), kill), revive},
--- a/measure/fleet/entry.go
+++ b/measure/fleet/entry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -12,6 +13,7 @@
 
 	"poplarworks/measure/link"
 	"poplarworks/measure/proc"
+	"poplarworks/measure/summary"
 )
 
 // Entry is one entry process.
@@ -149,7 +151,11 @@
 
 // Ready reports whether the entry asks for callers.
 func (e *Entry) Ready() bool {
-	answer, err := e.fleet.HTTP.Get(e.OperatorURL() + "/readyz")
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, e.OperatorURL()+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	answer, err := e.fleet.HTTP.Do(request)
 	if err != nil {
 		return false
 	}
@@ -162,26 +168,9 @@
 	return "http://" + e.operator.String()
 }
 
-// Status is the summary that the entry gives of itself.
-type Status struct {
-	State     string   `json:"state"`
-	Revision  uint64   `json:"revision"`
-	StoreDown bool     `json:"store-down"`
-	InFlight  int      `json:"requests-in-flight"`
-	Peers     []Peer   `json:"peers"`
-	Alarms    []string `json:"alarms"`
-}
-
-// Peer is another entry in a summary.
-type Peer struct {
-	Name     string `json:"name"`
-	State    string `json:"state"`
-	Revision uint64 `json:"revision"`
-}
-
 // Status asks the entry for its summary.
-func (e *Entry) Status() (Status, error) {
-	var status Status
+func (e *Entry) Status() (summary.Entry, error) {
+	var status summary.Entry
 	err := e.fleet.getJSON(e.OperatorURL()+"/v1/status", &status)
 	return status, err
 }
--- a/measure/fleet/fleet.go
+++ b/measure/fleet/fleet.go
@@ -16,7 +16,9 @@
 	"github.com/cockroachdb/errors"
 
 	"poplarworks/measure/link"
+	"poplarworks/measure/plan"
 	"poplarworks/measure/proc"
+	"poplarworks/measure/trouble"
 )
 
 const (
@@ -33,7 +35,7 @@
 
 // Fleet is everything that was started.
 type Fleet struct {
-	Plan    Plan
+	Plan    plan.Plan
 	Dir     string // for settings and logs
 	Entries []*Entry
 	Groups  []*Targets
@@ -45,17 +47,17 @@
 }
 
 // Start builds the programs and starts what the plan says; it returns when every entry is ready.
-func Start(plan Plan) (*Fleet, error) {
+func Start(wanted plan.Plan) (*Fleet, error) {
 	dir, err := os.MkdirTemp("", "fleet-")
 	if err != nil {
 		return nil, err
 	}
-	binaries, err := Build(plan.Tags)
+	binaries, err := Build(wanted.Tags)
 	if err != nil {
 		return nil, err
 	}
 	f := &Fleet{
-		Plan:     plan,
+		Plan:     wanted,
 		Dir:      dir,
 		HTTP:     &http.Client{Timeout: 30 * time.Second},
 		binaries: binaries,
@@ -249,16 +251,8 @@
 	return nil
 }
 
-// Fault says what is wrong with a part of the platform.
-type Fault struct {
-	Outage            bool    `json:"outage"`
-	Hang              bool    `json:"hang"`
-	DelayMilliseconds int     `json:"delay-ms"`
-	LoseAnswers       float64 `json:"lose-answers"`
-}
-
 // Platform sets the fault of a part of the platform: table, objects or vms.
-func (f *Fleet) Platform(part string, fault Fault) error {
+func (f *Fleet) Platform(part string, fault trouble.Platform) error {
 	return f.control(http.MethodPut, "/control/fault/"+part, fault)
 }
 
--- a/measure/fleet/targets.go
+++ b/measure/fleet/targets.go
@@ -10,21 +10,24 @@
 	"strings"
 	"time"
 
+	"poplarworks/measure/execution"
+	"poplarworks/measure/plan"
 	"poplarworks/measure/proc"
+	"poplarworks/measure/trouble"
 )
 
 const firstGroupHost = 100
 
 // Targets is the process that serves the targets of one group.
 type Targets struct {
-	Group Group
+	Group plan.Group
 
 	fleet   *Fleet
 	host    int
 	process *proc.Process
 }
 
-func newTargets(f *Fleet, i int, g Group) *Targets {
+func newTargets(f *Fleet, i int, g plan.Group) *Targets {
 	t := &Targets{Group: withDefaults(g), fleet: f, host: firstGroupHost + i}
 	g = t.Group
 	t.process = f.process("targets-"+g.Name, "poplar-standin", "targets",
@@ -50,7 +53,7 @@
 	return t
 }
 
-func withDefaults(g Group) Group {
+func withDefaults(g plan.Group) plan.Group {
 	if g.Slots == 0 {
 		g.Slots = 3
 	}
@@ -110,18 +113,8 @@
 		t.Group.Name, strings.Join(targets, ", "), extra)
 }
 
-// Faults says what is wrong with a target.
-type Faults struct {
-	SlowFactor float64 `json:"slow-factor"`
-	FailFast   bool    `json:"fail-fast"`
-	Shed       bool    `json:"shed"`
-	Drain      bool    `json:"drain"`
-	Lie        bool    `json:"lie"`
-	Hang       bool    `json:"hang"`
-}
-
 // SetFaults sets the faults of a target, counted from zero.
-func (t *Targets) SetFaults(i int, faults Faults) error {
+func (t *Targets) SetFaults(i int, faults trouble.Target) error {
 	return t.fleet.sendJSON(http.MethodPut, t.controlURL()+"/targets/"+t.TargetName(i)+"/faults", faults)
 }
 
@@ -130,21 +123,9 @@
 	return t.fleet.sendJSON(http.MethodPost, t.controlURL()+"/targets/"+t.TargetName(i)+"/crash", nil)
 }
 
-// Execution is one run of one request at one target.
-type Execution struct {
-	Target   string    `json:"target"`
-	Key      string    `json:"key"`
-	Token    string    `json:"token"`
-	Method   string    `json:"method"`
-	Started  time.Time `json:"started"`
-	Finished time.Time `json:"finished"`
-	Whole    bool      `json:"whole"`
-	Drained  bool      `json:"drained"`
-}
-
 // Executions returns what the group's targets ran.
-func (t *Targets) Executions() ([]Execution, error) {
-	var list []Execution
+func (t *Targets) Executions() ([]execution.Execution, error) {
+	var list []execution.Execution
 	err := t.fleet.getJSON(t.controlURL()+"/executions", &list)
 	return list, err
 }
--- a/measure/integration/driver_test.go
+++ b/measure/integration/driver_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"poplarworks/measure/fleet"
+	"poplarworks/measure/plan"
+	"poplarworks/measure/trouble"
 )
 
 // driver hides the waiting and the plumbing of a test's fleet.
@@ -20,20 +22,20 @@
 	t *testing.T
 }
 
-func group(name string) fleet.Group {
-	return fleet.Group{Name: name, Count: 3, Slots: 4, Work: 2 * time.Millisecond, ReportLag: 10 * time.Millisecond}
+func group(name string) plan.Group {
+	return plan.Group{Name: name, Count: 3, Slots: 4, Work: 2 * time.Millisecond, ReportLag: 10 * time.Millisecond}
 }
 
 // start runs three entries with a lookup, a download and a fee rule, unless the plan says otherwise.
-func start(t *testing.T, plan fleet.Plan) *driver {
+func start(t *testing.T, wanted plan.Plan) *driver {
 	t.Helper()
-	if plan.Entries == 0 {
-		plan.Entries = 3
+	if wanted.Entries == 0 {
+		wanted.Entries = 3
 	}
-	if plan.Groups == nil {
-		plan.Groups = []fleet.Group{group("status"), group("fees")}
+	if wanted.Groups == nil {
+		wanted.Groups = []plan.Group{group("status"), group("fees")}
 	}
-	f, err := fleet.Start(plan)
+	f, err := fleet.Start(wanted)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,9 +53,9 @@
 			"idempotent": true, "deadline": "3s", "not-run-statuses": [503]}`,
 		`{"schema": 1, "kind": "rule", "name": "build", "service": "status", "path": "/builds", "safe-to-repeat": true, "long": true}`,
 		`{"schema": 1, "kind": "rule", "name": "fee", "service": "fees", "path": "/fees", "method": "POST", "not-run": [503]}`,
-		fmt.Sprintf(`{"schema": 2, "kind": "limits", "name": "default", "reads-per-second": 1000, "writes-per-second": 600, "max-entries": %d}`, plan.Entries),
+		fmt.Sprintf(`{"schema": 2, "kind": "limits", "name": "default", "reads-per-second": 1000, "writes-per-second": 600, "max-entries": %d}`, wanted.Entries),
 	)
-	d.inForce(6, 3*time.Second)
+	d.inForce(6)
 	return d
 }
 
@@ -64,13 +66,12 @@
 	}
 }
 
-func (d *driver) inForce(revision uint64, limit time.Duration) time.Duration {
+// inForce waits for the time that the brief allows.
+func (d *driver) inForce(revision uint64) {
 	d.t.Helper()
-	took, err := d.InForce(revision, limit)
-	if err != nil {
+	if _, err := d.InForce(revision, 3*time.Second); err != nil {
 		d.t.Fatal(err)
 	}
-	return took
 }
 
 func (d *driver) await(what string, condition func() bool) {
@@ -80,7 +81,7 @@
 	}
 }
 
-func (d *driver) platform(part string, fault fleet.Fault) {
+func (d *driver) platform(part string, fault trouble.Platform) {
 	d.t.Helper()
 	if err := d.Platform(part, fault); err != nil {
 		d.t.Fatal(err)
@@ -132,14 +133,17 @@
 	return d.send(entry, http.MethodPost, "/fees/1", key)
 }
 
-// runs returns how often a key ran.
-func (d *driver) runs(key string) int {
+// feeKey is the key whose runs a test counts.
+const feeKey = "k1"
+
+// runs returns how often that key ran.
+func (d *driver) runs() int {
 	d.t.Helper()
 	runs, err := d.Groups[1].Runs()
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	return runs[key]
+	return runs[feeKey]
 }
 
 func (d *driver) served(entry int, path string) {
--- a/measure/integration/path_test.go
+++ b/measure/integration/path_test.go
@@ -5,13 +5,13 @@
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	"poplarworks/measure/fleet"
+	"poplarworks/measure/plan"
 )
 
 func TestTheWholePath(t *testing.T) {
-	d := start(t, fleet.Plan{})
+	d := start(t, plan.Plan{})
 	for entry := range d.Entries {
 		d.served(entry, "/status/7")
 	}
@@ -23,13 +23,13 @@
 	if again.header.Get("Poplar-Replayed") != "true" {
 		t.Error("got no sign that the second answer is the first's, want Poplar-Replayed")
 	}
-	if got := d.runs("k1"); got != 1 {
+	if got := d.runs(); got != 1 {
 		t.Errorf("got %d runs, want 1", got)
 	}
 }
 
 func TestOperatorsSeeAndChangeRecords(t *testing.T) {
-	d := start(t, fleet.Plan{})
+	d := start(t, plan.Plan{})
 	file := filepath.Join(t.TempDir(), "rule.jsonc")
 	write := func(text string) {
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
@@ -49,7 +49,7 @@
 	d.ctl(0, "record", "validate", file)
 	d.ctl(4, "record", "put", "--replaces", "2", file)
 	d.ctl(0, "record", "put", "--replaces", "3", file)
-	d.inForce(7, 3*time.Second)
+	d.inForce(7)
 	if got := d.ctl(4, "record", "put", "--replaces", "3", file); !strings.Contains(got, "revision 7 by harness stands") {
 		t.Errorf("got %q, want whose revision it met", got)
 	}
@@ -61,7 +61,7 @@
 	}
 	d.ctl(3, "record", "delete", "service", "status")
 	d.ctl(0, "record", "delete", "rule", "build")
-	d.inForce(8, 3*time.Second)
+	d.inForce(8)
 	if got := d.get(2, "/builds/1"); got.code() != "1002 not-run" {
 		t.Errorf("got %s for a rule that was deleted, want 1002 not-run", got.code())
 	}
@@ -81,7 +81,7 @@
 			t.Fatal(err)
 		}
 	}
-	f, err := fleet.Start(fleet.Plan{Entries: 1, TokenFile: right, Groups: []fleet.Group{group("status")}})
+	f, err := fleet.Start(plan.Plan{Entries: 1, TokenFile: right, Groups: []plan.Group{group("status")}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/measure/integration/promises_test.go
+++ b/measure/integration/promises_test.go
@@ -9,32 +9,34 @@
 	"time"
 
 	"poplarworks/measure/fleet"
+	"poplarworks/measure/plan"
+	"poplarworks/measure/trouble"
 )
 
 func TestAnAcceptedRecordIsInForceThoughTheStoreFailsAtOnce(t *testing.T) {
-	d := start(t, fleet.Plan{PeerProxies: true})
+	d := start(t, plan.Plan{PeerProxies: true})
 	d.put(`{"schema": 2, "kind": "rule", "name": "extra", "service": "status", "match": {"path-prefix": "/extra"}, "idempotent": true}`)
-	d.platform("table", fleet.Fault{Outage: true})
-	d.platform("objects", fleet.Fault{Outage: true})
-	d.inForce(7, 3*time.Second)
+	d.platform("table", trouble.Platform{Outage: true})
+	d.platform("objects", trouble.Platform{Outage: true})
+	d.inForce(7)
 	for entry := range d.Entries {
 		d.served(entry, "/extra")
 	}
 }
 
 func TestAnEntryCutFromItsPeersFollowsTheStore(t *testing.T) {
-	d := start(t, fleet.Plan{PeerProxies: true})
+	d := start(t, plan.Plan{PeerProxies: true})
 	for _, e := range d.Entries {
 		for _, l := range e.PeerLinks {
 			l.Cut()
 		}
 	}
 	d.put(`{"schema": 2, "kind": "rule", "name": "extra", "service": "status", "match": {"path-prefix": "/extra"}, "idempotent": true}`)
-	d.inForce(7, 3*time.Second)
+	d.inForce(7)
 }
 
 func TestAWhollyReplacedFleetHasTheRecordsAndTheClaims(t *testing.T) {
-	d := start(t, fleet.Plan{})
+	d := start(t, plan.Plan{})
 	if got := d.pay(0, "k1"); got.status != http.StatusOK {
 		t.Fatalf("got %d, want 200", got.status)
 	}
@@ -48,15 +50,15 @@
 		}
 	}
 	d.await("entries", func() bool { return d.Entries[0].Ready() && d.Entries[1].Ready() && d.Entries[2].Ready() })
-	d.inForce(6, 3*time.Second)
-	if got := d.pay(2, "k1"); got.header.Get("Poplar-Replayed") != "true" || d.runs("k1") != 1 {
-		t.Errorf("got %d %s and %d runs, want the kept answer and 1", got.status, got.code(), d.runs("k1"))
+	d.inForce(6)
+	if got := d.pay(2, "k1"); got.header.Get("Poplar-Replayed") != "true" || d.runs() != 1 {
+		t.Errorf("got %d %s and %d runs, want the kept answer and 1", got.status, got.code(), d.runs())
 	}
 }
 
 func TestAStoreOutage(t *testing.T) {
-	d := start(t, fleet.Plan{})
-	for _, fault := range []fleet.Fault{{Outage: true}, {Hang: true}} {
+	d := start(t, plan.Plan{})
+	for _, fault := range []trouble.Platform{{Outage: true}, {Hang: true}} {
 		d.platform("table", fault)
 		stop := d.background(0, 1, 2)
 		for i := range 6 {
@@ -73,24 +75,24 @@
 		if failures := stop(); len(failures) > 0 {
 			t.Errorf("got %d lookups failed during the outage, want none: %v", len(failures), failures[0])
 		}
-		d.platform("table", fleet.Fault{})
+		d.platform("table", trouble.Platform{})
 		d.await("orders after the outage", func() bool { return d.pay(0, "k1").status == http.StatusOK })
 	}
-	if got := d.runs("k1"); got != 1 {
+	if got := d.runs(); got != 1 {
 		t.Errorf("got %d runs, want 1", got)
 	}
 }
 
 func TestAResendElsewhereWaitsForTheFirst(t *testing.T) {
-	d := start(t, fleet.Plan{})
+	d := start(t, plan.Plan{})
 	var first reply
 	var group sync.WaitGroup
 	group.Go(func() { first = d.send(0, http.MethodPost, "/fees/1?work=800ms", "k1") })
-	d.await("the first send at its target", func() bool { return d.runs("k1") == 1 })
+	d.await("the first send at its target", func() bool { return d.runs() == 1 })
 	again := d.send(1, http.MethodPost, "/fees/1?work=800ms", "k1")
 	group.Wait()
-	if again.status != http.StatusOK || again.body != first.body || d.runs("k1") != 1 {
-		t.Errorf("got %d %q and %d runs, want the first answer %q and 1", again.status, again.body, d.runs("k1"), first.body)
+	if again.status != http.StatusOK || again.body != first.body || d.runs() != 1 {
+		t.Errorf("got %d %q and %d runs, want the first answer %q and 1", again.status, again.body, d.runs(), first.body)
 	}
 }
 
@@ -105,9 +107,9 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			d := start(t, fleet.Plan{})
+			d := start(t, plan.Plan{})
 			go d.send(0, http.MethodPost, "/fees/1?work=500ms", "k1")
-			d.await("the first send at its target", func() bool { return d.runs("k1") == 1 })
+			d.await("the first send at its target", func() bool { return d.runs() == 1 })
 			s.broken(d.Entries[0])
 			for range 3 {
 				got := d.send(1, http.MethodPost, "/fees/1?work=500ms", "k1")
@@ -118,7 +120,7 @@
 			s.mend(d.Entries[0])
 			d.await("the holder", d.Entries[0].Ready)
 			d.send(0, http.MethodPost, "/fees/1?work=500ms", "k1")
-			if got := d.runs("k1"); got != 1 {
+			if got := d.runs(); got != 1 {
 				t.Errorf("got %d runs, want 1", got)
 			}
 		})
@@ -126,9 +128,9 @@
 }
 
 func TestAPoisonousRequestCrashesAtMostTwoTargets(t *testing.T) {
-	plan := fleet.Plan{Groups: []fleet.Group{group("status"), group("fees")}}
-	plan.Groups[0].Count = 5
-	d := start(t, plan)
+	wanted := plan.Plan{Groups: []plan.Group{group("status"), group("fees")}}
+	wanted.Groups[0].Count = 5
+	d := start(t, wanted)
 	for i := range 12 {
 		d.get(i%3, "/status/bad?poison")
 		time.Sleep(20 * time.Millisecond)
@@ -149,7 +151,7 @@
 }
 
 func TestAPlannedStopOfATargetCutsNothing(t *testing.T) {
-	d := start(t, fleet.Plan{})
+	d := start(t, plan.Plan{})
 	const path = "/builds/1?bytes=1000000&rate=500000"
 	var group sync.WaitGroup
 	for i := range 3 {
@@ -188,7 +190,7 @@
 }
 
 func TestStopStatusNamesEntriesNotHeardFrom(t *testing.T) {
-	d := start(t, fleet.Plan{})
+	d := start(t, plan.Plan{})
 	d.ctl(0, "stop", "announce", "patch", "--service", "status", "--target", d.Groups[0].TargetName(0))
 	d.Entries[2].Pause()
 	defer d.Entries[2].Resume()
@@ -199,7 +201,7 @@
 }
 
 func TestAnEntrysOwnStopCutsNothing(t *testing.T) {
-	d := start(t, fleet.Plan{DrainGrace: 500 * time.Millisecond})
+	d := start(t, plan.Plan{DrainGrace: 500 * time.Millisecond})
 	var got reply
 	var group sync.WaitGroup
 	group.Go(func() { got = d.get(0, "/builds/1?bytes=1000000&rate=500000") })
@@ -219,7 +221,7 @@
 }
 
 func TestAStopRecordOfAnEntryAndItsWithdrawal(t *testing.T) {
-	d := start(t, fleet.Plan{})
+	d := start(t, plan.Plan{})
 	d.ctl(0, "stop", "announce", "away", "--entry-name", "entry-3")
 	d.await("entry-3 not ready", func() bool { return !d.Entries[2].Ready() })
 	d.await("entry-3 refusing", func() bool { return d.get(2, "/status/1").code() == "2006 not-run" })
--- a/measure/loadgen/generator.go
+++ b/measure/loadgen/generator.go
@@ -92,7 +92,7 @@
 // fire sends one shot, measuring from the moment at which it was due.
 func (g *Generator) fire(ctx context.Context, shot Shot, due time.Time, offset time.Duration) {
 	for try := 0; ; try++ {
-		outcome := g.send(ctx, shot)
+		outcome := g.send(ctx, shot, due)
 		if outcome.served() || try >= shot.Resend || time.Since(due) > shot.Deadline && shot.Deadline > 0 {
 			g.result.Add(shot.Class, end(shot, outcome, time.Since(due)), offset)
 			return
@@ -135,7 +135,9 @@
 	}
 }
 
-func (g *Generator) send(ctx context.Context, shot Shot) answer {
+// send tells the entry how much of the caller's patience is left, so that nothing is run for an answer that comes too
+// late.
+func (g *Generator) send(ctx context.Context, shot Shot, due time.Time) answer {
 	request, err := http.NewRequestWithContext(ctx, shot.Method, shot.URL, strings.NewReader(shot.Body))
 	if err != nil {
 		return answer{err: err}
@@ -143,6 +145,10 @@
 	for name, value := range shot.Header {
 		request.Header.Set(name, value)
 	}
+	if shot.Deadline > 0 {
+		left := max(1, (shot.Deadline - time.Since(due)).Milliseconds())
+		request.Header.Set("Poplar-Deadline-Ms", strconv.FormatInt(left, 10))
+	}
 	reply, err := g.client.Do(request)
 	if err != nil {
 		return answer{err: err}
--- /dev/null
+++ b/measure/plan/doc.go
@@ -0,0 +1,2 @@
+// Package plan says what a fleet consists of.
+package plan
--- a/measure/fleet/plan.go
+++ b/measure/plan/plan.go
@@ -1,4 +1,4 @@
-package fleet
+package plan
 
 import "time"
 
--- a/measure/probing/command.go
+++ b/measure/probing/command.go
@@ -11,6 +11,7 @@
 
 	"poplarworks/measure/fleet"
 	"poplarworks/measure/loadgen"
+	"poplarworks/measure/plan"
 	"poplarworks/measure/report"
 )
 
@@ -38,10 +39,10 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
-	f, err := fleet.Start(fleet.Plan{
+	f, err := fleet.Start(plan.Plan{
 		Entries:     c.Int("entries"),
 		PeerProxies: true,
-		Groups: []fleet.Group{{
+		Groups: []plan.Group{{
 			Name: "ice-edge", Count: targets, Slots: slots, Connections: 260, Work: 5 * time.Millisecond,
 			ConnectCost: time.Millisecond, ProbeCost: cost, ReportLag: 20 * time.Millisecond,
 		}},
--- a/measure/scenario/registry.go
+++ b/measure/scenario/registry.go
@@ -8,6 +8,7 @@
 
 	"poplarworks/measure/fleet"
 	"poplarworks/measure/loadgen"
+	"poplarworks/measure/plan"
 )
 
 // Sizes of the Registry's deployment.
@@ -26,8 +27,8 @@
 }
 
 // Group returns the targets.
-func (s Status) Group() fleet.Group {
-	g := fleet.Group{
+func (s Status) Group() plan.Group {
+	g := plan.Group{
 		Name:        "status-reading",
 		Count:       StatusTargets,
 		Slots:       StatusSlots,
--- a/measure/slopes/command.go
+++ b/measure/slopes/command.go
@@ -14,6 +14,7 @@
 	"poplarworks/measure/fit"
 	"poplarworks/measure/fleet"
 	"poplarworks/measure/loadgen"
+	"poplarworks/measure/plan"
 	"poplarworks/measure/report"
 )
 
@@ -46,10 +47,10 @@
 	}
 }
 
-func plan(entries int) fleet.Plan {
-	return fleet.Plan{
+func layout(entries int) plan.Plan {
+	return plan.Plan{
 		Entries: entries, NoAsserts: true, LogLevel: "warning",
-		Groups: []fleet.Group{{Name: "status", Count: 14, Slots: 6, ReportLag: 20 * time.Millisecond}},
+		Groups: []plan.Group{{Name: "status", Count: 14, Slots: 6, ReportLag: 20 * time.Millisecond}},
 	}
 }
 
@@ -65,7 +66,7 @@
 	}
 	rest, busy, cpu, memory := &fit.Line{}, &fit.Line{}, &fit.Line{}, &fit.Line{}
 	for _, n := range sizes {
-		f, err := fleet.Start(plan(n))
+		f, err := fleet.Start(layout(n))
 		if err != nil {
 			return err
 		}
@@ -179,7 +180,7 @@
 }
 
 func withService(records []string) (figures, error) {
-	f, err := fleet.Start(plan(1))
+	f, err := fleet.Start(layout(1))
 	if err != nil {
 		return figures{}, err
 	}
@@ -210,7 +211,7 @@
 }
 
 func withRecords(n int) (figures, time.Duration, error) {
-	f, err := fleet.Start(plan(1))
+	f, err := fleet.Start(layout(1))
 	if err != nil {
 		return figures{}, 0, err
 	}
--- /dev/null
+++ b/measure/summary/doc.go
@@ -0,0 +1,2 @@
+// Package summary is what an entry says of itself.
+package summary
--- /dev/null
+++ b/measure/trouble/doc.go
@@ -0,0 +1,2 @@
+// Package trouble says what is wrong with a part of a fleet.
+package trouble
--- /dev/null
+++ b/measure/trouble/trouble.go
@@ -0,0 +1,19 @@
+package trouble
+
+// Platform says what is wrong with a part of the platform.
+type Platform struct {
+	Outage            bool    `json:"outage"`
+	Hang              bool    `json:"hang"`
+	DelayMilliseconds int     `json:"delay-ms"`
+	LoseAnswers       float64 `json:"lose-answers"`
+}
+
+// Target says what is wrong with a target.
+type Target struct {
+	SlowFactor float64 `json:"slow-factor"`
+	FailFast   bool    `json:"fail-fast"`
+	Shed       bool    `json:"shed"`
+	Drain      bool    `json:"drain"`
+	Lie        bool    `json:"lie"`
+	Hang       bool    `json:"hang"`
+}
