Confirm a request's target just before it is sent

The fee had been given the target, then waited for its claim while the store was slow, and was sent without another look.

Change: the target is confirmed after the claim and after a pause; one that has left is given up, and the request picks again.

--- a/core/balancer/leaving.go
+++ b/core/balancer/leaving.go
@@ -91,6 +91,17 @@
 	}
 }
 
+// Confirm reports whether the target that a request was given still takes new work; time may have passed since, in a claim
+// or in a pause of the process.
+func (b *Balancer) Confirm(id uint64) bool {
+	a, ok := b.inFlight[id]
+	if !ok {
+		return false
+	}
+	t := a.target
+	return !t.removed && !t.stopped && t.machine.State() != lifecycle.Leaving
+}
+
 // InFlight returns this entry's requests in flight at the target, and whether the target takes new work from it.
 func (b *Balancer) InFlight(now time.Time, name string) (count int, open bool) {
 	for _, t := range b.targets {
--- a/core/balancer/leaving_test.go
+++ b/core/balancer/leaving_test.go
@@ -50,6 +50,31 @@
 	}
 }
 
+func TestARequestIsConfirmedOnlyWhileItsTargetStays(t *testing.T) {
+	scenarios := []struct {
+		name  string
+		leave func(d *driver, target string)
+		want  bool
+	}{
+		{"the target stays", func(*driver, string) {}, true},
+		{"the target leaves", func(d *driver, target string) { d.Leave(d.now, target) }, false},
+		{"a stop comes into force", func(d *driver, target string) {
+			d.Stop(d.now, []stop.Stop{{Service: "s", Target: target}})
+		}, false},
+		{"the record drops all targets", func(d *driver, _ string) { d.Configure(d.now, record(0, 3)) }, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			d := drive(t, record(3, 3))
+			sent := d.submit(d.rule)
+			s.leave(d, sent.Name)
+			if got := d.Confirm(sent.ID); got != s.want {
+				t.Errorf("got confirmed %t, want %t", got, s.want)
+			}
+		})
+	}
+}
+
 func TestAStopThatIsWithdrawnBringsWorkBack(t *testing.T) {
 	d := drive(t, record(2, 50))
 	d.Stop(d.now, []stop.Stop{{Service: "s", Target: "t1"}})
--- a/entry/dispatch/service.go
+++ b/entry/dispatch/service.go
@@ -132,6 +132,14 @@
 	s.noteLong()
 }
 
+// Confirm reports whether the request may still be sent to the target that it was given.
+func (s *Service) Confirm(ctx context.Context, id uint64) bool {
+	s.stall.wait(ctx, s.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.Confirm(id)
+}
+
 // HedgeAfter returns how long to wait for an answer before a second attempt, and whether to hedge at all.
 func (s *Service) HedgeAfter(r *rule.Rule) (time.Duration, bool) {
 	s.mu.Lock()
--- a/entry/exchange/attempt.go
+++ b/entry/exchange/attempt.go
@@ -39,6 +39,11 @@
 		if res, ended := c.undecided(d); ended {
 			return res
 		}
+		if !c.service.Confirm(c.ctx, d.ID) {
+			c.service.Finish(d.ID, outcome.Outcome{Kind: outcome.Cancelled})
+			d = c.service.Submit(c.ctx, c.request)
+			continue
+		}
 		c.note(d)
 		res := c.tryOnce(d)
 		if !c.mayGoOn(res) {
