Wake up less: digests on a signal, probes only where there are any

Two tickers of 5 ms and four digests a second to each peer, also with nothing to say.

Change: long requests signal the digest; an entry without requests says so once; the prober rests while no service is probed; heartbeats each second.

--- a/entry/app/entry.go
+++ b/entry/app/entry.go
@@ -195,6 +195,7 @@
 func (e *entry) run(signalled context.Context) error {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(signalled))
 	defer cancel()
+	e.directory.Start()
 	e.pool.Start()
 	e.crashes.Start()
 	e.claims.Start()
--- a/entry/dispatch/directory.go
+++ b/entry/dispatch/directory.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"poplarworks/core/balancer"
@@ -19,13 +18,15 @@
 	"poplarworks/entry/common"
 )
 
+const stopInterval = 100 * time.Millisecond
+
 // Directory holds the services in force; its exported fields are set before Run.
 type Directory struct {
 	*common.Common
 	NewPicker func(random *rand.Rand) balancer.Picker
 
 	stall    stallGuard
-	changes  atomic.Int64
+	changed  chan struct{}
 	mu       sync.RWMutex
 	services map[string]*Service
 	cancels  map[string]context.CancelFunc
@@ -33,9 +34,14 @@
 	stops    []stop.Stop
 }
 
+// Start prepares the directory; call it before anything else.
+func (d *Directory) Start() {
+	d.changed = make(chan struct{}, 1)
+}
+
 // Run puts planned stops in force as their time comes, until the context ends.
 func (d *Directory) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(stopInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -106,7 +112,7 @@
 	s := &Service{
 		Common:   d.Common,
 		stall:    &d.stall,
-		changes:  &d.changes,
+		changed:  d.changed,
 		balancer: &balancer.Balancer{Self: d.Settings.Name, Picker: d.NewPicker(random), Random: random, Check: d.Check},
 		waiters:  map[uint64]chan decision.Decision{},
 		wake:     make(chan struct{}, 1),
@@ -127,9 +133,9 @@
 	}
 }
 
-// LongChanges counts how often a long request has started or ended, so that peers can be told at once.
-func (d *Directory) LongChanges() int64 {
-	return d.changes.Load()
+// LongChanged is signalled when a long request starts or ends, so that peers can be told at once.
+func (d *Directory) LongChanged() <-chan struct{} {
+	return d.changed
 }
 
 // Stalls counts the pauses of this process that were noticed.
--- a/entry/dispatch/service.go
+++ b/entry/dispatch/service.go
@@ -17,7 +17,7 @@
 
 const (
 	pollInterval = time.Millisecond
-	tickInterval = 100 * time.Millisecond
+	tickInterval = 250 * time.Millisecond
 )
 
 // Service serialises the decisions of one service; it is safe for concurrent use.
@@ -30,15 +30,18 @@
 	waiters  map[uint64]chan decision.Decision
 	wake     chan struct{}
 	record   atomic.Pointer[service.Service]
-	changes  *atomic.Int64 // of long requests in flight, at all services
-	long     int           // in flight when last looked
+	changed  chan struct{} // signalled when a long request starts or ends, at any service
+	long     int           // long requests in flight when last looked
 }
 
 // noteLong is called with the lock held, after anything that may start or end a long request.
 func (s *Service) noteLong() {
 	if held := s.balancer.Long(); held != s.long {
 		s.long = held
-		s.changes.Add(1)
+		select {
+		case s.changed <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- a/entry/dispatch/stall.go
+++ b/entry/dispatch/stall.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	stallGap    = 4 * tickInterval
+	stallGap    = 4 * stopInterval
 	stallSettle = 150 * time.Millisecond
 )
 
--- a/entry/exchange/rig_test.go
+++ b/entry/exchange/rig_test.go
@@ -103,6 +103,7 @@
 	directory := &dispatch.Directory{Common: c, NewPicker: func(random *rand.Rand) balancer.Picker {
 		return &powerofd.Picker{Choices: 3, Random: random}
 	}}
+	directory.Start()
 	pool := &target.Pool{Common: c, Share: func(netip.AddrPort) int { return 100 }}
 	pool.Start()
 	go pool.Run(ctx)
--- a/entry/peer/mesh.go
+++ b/entry/peer/mesh.go
@@ -28,7 +28,7 @@
 )
 
 const (
-	heartbeatInterval = 500 * time.Millisecond
+	heartbeatInterval = time.Second
 	listInterval      = time.Second
 	digestInterval    = 250 * time.Millisecond
 	longInterval      = 5 * time.Millisecond // between digests while long requests start and end
@@ -58,7 +58,7 @@
 type services interface {
 	Get(name string) (*dispatch.Service, bool)
 	All() map[string]*dispatch.Service
-	LongChanges() int64
+	LongChanged() <-chan struct{}
 }
 
 // Mesh holds a connection to every other entry; its exported fields are set before Run.
@@ -216,24 +216,26 @@
 	m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Crash{Crash: &peerpb.Crash{Fingerprint: fingerprint[:], Target: target}}})
 }
 
-// sendDigests tells the peers of own requests in flight: at once when long ones change, and else now and then.
+// sendDigests tells the peers of own requests in flight: at once when long ones change, and else now and then. Nothing is
+// said twice: an entry without requests is silent after it has said so.
 func (m *Mesh) sendDigests(ctx context.Context) {
-	ticker := time.NewTicker(longInterval)
+	ticker := time.NewTicker(digestInterval)
 	defer ticker.Stop()
-	var sentAt time.Time
-	var sentChanges int64
+	silent := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-m.Services.LongChanged():
+			time.Sleep(longInterval) // others may change at the same moment
 		case <-ticker.C:
 		}
-		changes := m.Services.LongChanges()
-		if m.Now().Sub(sentAt) < digestInterval && changes == sentChanges {
-			continue
+		wire := m.digest()
+		empty := len(wire.GetServices()) == 0
+		if !empty || !silent {
+			m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Digest{Digest: wire}})
 		}
-		sentAt, sentChanges = m.Now(), changes
-		m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Digest{Digest: m.digest()}})
+		silent = empty
 	}
 }
 
--- a/entry/prober/prober.go
+++ b/entry/prober/prober.go
@@ -20,6 +20,7 @@
 
 const (
 	interval     = 5 * time.Millisecond
+	restInterval = 50 * time.Millisecond  // while no service is probed
 	idlePeriod   = 250 * time.Millisecond // between looks at a service without probes
 	probeTimeout = 500 * time.Millisecond
 	answerBytes  = 64 << 10
@@ -49,13 +50,13 @@
 func (p *Prober) Run(ctx context.Context) {
 	p.dueAt = map[string]time.Time{}
 	stalls := 0
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		if count := p.Services.Stalls(); count > stalls {
 			stalls = count
@@ -70,9 +71,20 @@
 			p.probeDue(ctx, s)
 			p.checkLeaving(ctx, s)
 		}
+		timer.Reset(p.pause())
 	}
 }
 
+// pause is short only while some service is probed.
+func (p *Prober) pause() time.Duration {
+	for _, s := range p.Services.All() {
+		if s.Record().ProbesPerEntry() > 0 {
+			return interval
+		}
+	}
+	return restInterval
+}
+
 // period spreads the probes of a service evenly over the budget's window.
 func period(s *dispatch.Service) time.Duration {
 	record := s.Record()
--- a/measure/app/app.go
+++ b/measure/app/app.go
@@ -9,6 +9,7 @@
 	"poplarworks/measure/chaos"
 	"poplarworks/measure/crest"
 	"poplarworks/measure/doccheck"
+	"poplarworks/measure/durable"
 	"poplarworks/measure/faulty"
 	"poplarworks/measure/probing"
 	"poplarworks/measure/shortlong"
@@ -26,6 +27,7 @@
 			chaos.Command(),
 			crest.Command(),
 			doccheck.Command(),
+			durable.Command(),
 			faulty.Command(),
 			probing.Command(),
 			shortlong.Command(),
