Let the four lifecycles share one machine

Cause: claims, targets, members and entries each wrapped the library in the same two functions. Change: core/statemachine; behaviour and tests stay as they are.

--- a/core/claim/machine.go
+++ b/core/claim/machine.go
@@ -1,13 +1,11 @@
 package claim
 
 import (
-	"context"
-	"sync/atomic"
-
 	"github.com/qmuntal/stateless"
 
 	"poplarworks/core/code"
 	"poplarworks/core/invariant"
+	"poplarworks/core/statemachine"
 )
 
 // Stage is how far the holder of a claim has come.
@@ -44,8 +42,7 @@
 type Machine struct {
 	Check *invariant.Checker
 
-	machine *stateless.StateMachine
-	stage   atomic.Pointer[Stage] // a dump reads it while the request runs
+	machine statemachine.Machine[Stage]
 }
 
 // Write notes that the row is about to be written.
@@ -77,10 +74,7 @@
 
 // Stage returns how far the request has come.
 func (m *Machine) Stage() Stage {
-	if stage := m.stage.Load(); stage != nil {
-		return *stage
-	}
-	return Fresh
+	return m.machine.State(Fresh)
 }
 
 // Run returns what may be said of the request at this stage.
@@ -97,31 +91,16 @@
 }
 
 func (m *Machine) fire(t trigger) bool {
-	if m.machine == nil {
-		m.configure()
-	}
-	ok, err := m.machine.CanFire(t)
-	ok = ok && err == nil && m.machine.Fire(t) == nil
-	m.Check.Hold(ok, "claim at stage %s cannot %s", m.Stage(), t)
+	before := m.Stage()
+	ok := m.machine.Fire(Fresh, configure, t)
+	m.Check.Hold(ok, "claim at stage %s cannot %s", before, t)
 	return ok
 }
 
-func (m *Machine) configure() {
-	m.machine = stateless.NewStateMachineWithExternalStorage(m.read, m.store, stateless.FiringQueued)
-	m.machine.Configure(Fresh).Permit(triggerWrite, Writing)
-	m.machine.Configure(Writing).Permit(triggerGrant, Held).Permit(triggerYield, Yielded).Permit(triggerLose, Unsettled)
-	m.machine.Configure(Yielded).Permit(triggerWrite, Writing)
-	m.machine.Configure(Held).Permit(triggerSend, Sent).Permit(triggerFree, Freed)
-	m.machine.Configure(Sent).Permit(triggerNotRun, Held).Permit(triggerAnswer, Answered).Permit(triggerBreak, Uncertain)
-}
-
-func (m *Machine) read(context.Context) (stateless.State, error) {
-	return m.Stage(), nil
-}
-
-func (m *Machine) store(_ context.Context, state stateless.State) error {
-	if stage, ok := state.(Stage); ok {
-		m.stage.Store(&stage)
-	}
-	return nil
+func configure(rules *stateless.StateMachine) {
+	rules.Configure(Fresh).Permit(triggerWrite, Writing)
+	rules.Configure(Writing).Permit(triggerGrant, Held).Permit(triggerYield, Yielded).Permit(triggerLose, Unsettled)
+	rules.Configure(Yielded).Permit(triggerWrite, Writing)
+	rules.Configure(Held).Permit(triggerSend, Sent).Permit(triggerFree, Freed)
+	rules.Configure(Sent).Permit(triggerNotRun, Held).Permit(triggerAnswer, Answered).Permit(triggerBreak, Uncertain)
 }
--- a/core/entrystate/machine.go
+++ b/core/entrystate/machine.go
@@ -1,10 +1,11 @@
 package entrystate
 
 import (
-	"context"
 	"time"
 
 	"github.com/qmuntal/stateless"
+
+	"poplarworks/core/statemachine"
 )
 
 // State is where an entry stands.
@@ -33,18 +34,14 @@
 type Machine struct {
 	GraceTime time.Duration
 
-	machine   *stateless.StateMachine
-	state     State
+	machine   statemachine.Machine[State]
 	stoppedAt time.Time
 	final     bool // the stop cannot be withdrawn
 }
 
 // State returns the present state.
 func (m *Machine) State() State {
-	if m.state == "" {
-		return Starting
-	}
-	return m.state
+	return m.machine.State(Starting)
 }
 
 // Loaded notes that the entry has records.
@@ -80,26 +77,12 @@
 }
 
 func (m *Machine) fire(t trigger) bool {
-	if m.machine == nil {
-		m.configure()
-	}
-	ok, err := m.machine.CanFire(t)
-	return ok && err == nil && m.machine.Fire(t) == nil
-}
-
-func (m *Machine) configure() {
-	m.machine = stateless.NewStateMachineWithExternalStorage(m.read, m.write, stateless.FiringQueued)
-	m.machine.Configure(Starting).Permit(triggerLoad, Serving).Permit(triggerStop, Grace)
-	m.machine.Configure(Serving).Permit(triggerStop, Grace)
-	m.machine.Configure(Grace).Permit(triggerRefuse, Refusing).Permit(triggerWithdraw, Serving)
-	m.machine.Configure(Refusing).Permit(triggerClose, Closed).Permit(triggerWithdraw, Serving)
-}
-
-func (m *Machine) read(context.Context) (stateless.State, error) {
-	return m.State(), nil
+	return m.machine.Fire(Starting, configure, t)
 }
 
-func (m *Machine) write(_ context.Context, state stateless.State) error {
-	m.state, _ = state.(State)
-	return nil
+func configure(rules *stateless.StateMachine) {
+	rules.Configure(Starting).Permit(triggerLoad, Serving).Permit(triggerStop, Grace)
+	rules.Configure(Serving).Permit(triggerStop, Grace)
+	rules.Configure(Grace).Permit(triggerRefuse, Refusing).Permit(triggerWithdraw, Serving)
+	rules.Configure(Refusing).Permit(triggerClose, Closed).Permit(triggerWithdraw, Serving)
 }
--- a/core/lifecycle/machine.go
+++ b/core/lifecycle/machine.go
@@ -1,9 +1,9 @@
 package lifecycle
 
 import (
-	"context"
-
 	"github.com/qmuntal/stateless"
+
+	"poplarworks/core/statemachine"
 )
 
 // State is where a target stands.
@@ -31,56 +31,25 @@
 	Return  Trigger = "return"
 )
 
-// Machine holds the state; transitions are rare, so that their cost does not matter, and State is a plain read.
+// Machine holds the state; transitions are rare, so that their cost does not matter.
 type Machine struct {
-	machine *stateless.StateMachine
-	state   State
+	machine statemachine.Machine[State]
 }
 
 // Fire moves the machine, and reports whether the trigger means anything in the present state.
 func (m *Machine) Fire(trigger Trigger) bool {
-	if m.machine == nil {
-		m.configure()
-	}
-	if ok, err := m.machine.CanFire(trigger); err != nil || !ok {
-		return false
-	}
-	return m.machine.Fire(trigger) == nil
+	return m.machine.Fire(Cold, configure, trigger)
 }
 
 // State returns the present state.
 func (m *Machine) State() State {
-	if m.state == "" {
-		return Cold
-	}
-	return m.state
-}
-
-func (m *Machine) configure() {
-	m.machine = stateless.NewStateMachineWithExternalStorage(m.read, m.write, stateless.FiringQueued)
-	m.machine.Configure(Cold).
-		Permit(Warm, Active).
-		Permit(Eject, Ejected).
-		Permit(Leave, Leaving)
-	m.machine.Configure(Active).
-		Permit(Eject, Ejected).
-		Permit(Leave, Leaving)
-	m.machine.Configure(Ejected).
-		Permit(Try, Trial).
-		Permit(Leave, Leaving)
-	m.machine.Configure(Trial).
-		Permit(Recover, Cold).
-		Permit(Eject, Ejected).
-		Permit(Leave, Leaving)
-	m.machine.Configure(Leaving).
-		Permit(Return, Cold)
-}
-
-func (m *Machine) read(context.Context) (stateless.State, error) {
-	return m.State(), nil
+	return m.machine.State(Cold)
 }
 
-func (m *Machine) write(_ context.Context, state stateless.State) error {
-	m.state, _ = state.(State)
-	return nil
+func configure(rules *stateless.StateMachine) {
+	rules.Configure(Cold).Permit(Warm, Active).Permit(Eject, Ejected).Permit(Leave, Leaving)
+	rules.Configure(Active).Permit(Eject, Ejected).Permit(Leave, Leaving)
+	rules.Configure(Ejected).Permit(Try, Trial).Permit(Leave, Leaving)
+	rules.Configure(Trial).Permit(Recover, Cold).Permit(Eject, Ejected).Permit(Leave, Leaving)
+	rules.Configure(Leaving).Permit(Return, Cold)
 }
--- a/core/memberlife/machine.go
+++ b/core/memberlife/machine.go
@@ -1,9 +1,9 @@
 package memberlife
 
 import (
-	"context"
-
 	"github.com/qmuntal/stateless"
+
+	"poplarworks/core/statemachine"
 )
 
 // State is what is known of an entry.
@@ -27,24 +27,12 @@
 
 // Machine is the state machine of one member.
 type Machine struct {
-	machine *stateless.StateMachine
-	state   State
-}
-
-// New returns the machine of a member that is listed.
-func New() *Machine {
-	m := &Machine{state: Listed}
-	m.machine = stateless.NewStateMachineWithExternalStorage(m.read, m.write, stateless.FiringQueued)
-	m.machine.Configure(Listed).Permit(triggerHear, Alive).Permit(triggerExpire, Dead).Ignore(triggerMiss)
-	m.machine.Configure(Alive).Permit(triggerMiss, Suspect).Ignore(triggerHear).Ignore(triggerExpire)
-	m.machine.Configure(Suspect).Permit(triggerHear, Alive).Permit(triggerExpire, Dead).Ignore(triggerMiss)
-	m.machine.Configure(Dead).Permit(triggerHear, Alive).Ignore(triggerMiss).Ignore(triggerExpire)
-	return m
+	machine statemachine.Machine[State]
 }
 
 // State returns the present state.
 func (m *Machine) State() State {
-	return m.state
+	return m.machine.State(Listed)
 }
 
 // Hear notes a heartbeat.
@@ -56,16 +44,14 @@
 // Expire notes that the member has been silent for long.
 func (m *Machine) Expire() { m.fire(triggerExpire) }
 
-func (m *Machine) read(context.Context) (stateless.State, error) {
-	return m.state, nil
-}
-
-func (m *Machine) write(_ context.Context, state stateless.State) error {
-	m.state, _ = state.(State)
-	return nil
+// fire moves the member; a trigger that is not permitted in the present state means nothing there.
+func (m *Machine) fire(t trigger) {
+	m.machine.Fire(Listed, configure, t)
 }
 
-// fire moves the member; every trigger is either permitted or ignored in every state, so that it cannot fail.
-func (m *Machine) fire(t trigger) {
-	_ = m.machine.Fire(t)
+func configure(rules *stateless.StateMachine) {
+	rules.Configure(Listed).Permit(triggerHear, Alive).Permit(triggerExpire, Dead)
+	rules.Configure(Alive).Permit(triggerMiss, Suspect)
+	rules.Configure(Suspect).Permit(triggerHear, Alive).Permit(triggerExpire, Dead)
+	rules.Configure(Dead).Permit(triggerHear, Alive)
 }
--- a/core/membership/members.go
+++ b/core/membership/members.go
@@ -68,7 +68,7 @@
 	}
 	held, ok := m.members[name]
 	if !ok {
-		held = &Member{Name: name, addedAt: now, lifecycle: memberlife.New()}
+		held = &Member{Name: name, addedAt: now, lifecycle: &memberlife.Machine{}}
 		m.members[name] = held
 	}
 	return held
