Say in digests only what peers need, and only when it changes

Change: a digest names the services at which the entry is active, its long requests, and in-flight counts only for services without load reports; it is sent when that changes, and again every ten seconds. Peers that are not heard are taken out of the division of the slots.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -54,7 +54,8 @@
 	scratch  view     // reused, so that a pick allocates nothing
 	started  time.Time
 	nextID   uint64
-	long     int // own long requests in flight
+	busyAt   time.Time // when the last request came
+	long     int       // own long requests in flight
 }
 
 // ruleState is what is learnt about one rule.
--- a/core/balancer/digest.go
+++ b/core/balancer/digest.go
@@ -6,24 +6,29 @@
 	"poplarworks/core/digest"
 )
 
-const digestLifetime = 5 * time.Second
+const (
+	digestLifetime = 30 * time.Second // three times the interval at which unchanged digests are sent again
+	busyMemory     = 5 * time.Second  // an entry is active at a service for this long after its last request there
+)
 
-// peerLoad is what a peer said of its requests in flight.
+// peerLoad is what a peer said of a service at which it is active.
 type peerLoad struct {
 	at      time.Time
-	busyAt  time.Time // when it last had any
 	targets map[string]digest.Load
 }
 
-// Digest returns this entry's requests in flight by target, without the targets that have none.
-func (b *Balancer) Digest() map[string]digest.Load {
-	loads := map[string]digest.Load{}
+// Digest returns what peers need to know, and whether this entry is active at the service: its long requests by target
+// and, if the targets give no load reports, all of its requests in flight. The rest changes with every request, would be
+// out of date on arrival, and is left out.
+func (b *Balancer) Digest(now time.Time) (loads map[string]digest.Load, active bool) {
+	loads = map[string]digest.Load{}
 	for _, t := range b.targets {
-		if own := t.load.Own(); own > 0 {
+		own := t.load.Own()
+		if t.long > 0 || b.service.LoadHeader == "" && own > 0 {
 			loads[t.record.Name] = digest.Load{InFlight: own, Long: t.long}
 		}
 	}
-	return loads
+	return loads, !b.busyAt.IsZero() && now.Sub(b.busyAt) <= busyMemory
 }
 
 // Long returns this entry's long requests in flight.
@@ -31,19 +36,18 @@
 	return b.long
 }
 
-// Knows reports whether the peer has said that it has requests in flight.
-func (b *Balancer) Knows(peer string) bool {
-	return len(b.peers[peer].targets) > 0
+// PeerDigest takes the digest of a peer that is active at the service, which replaces its former one.
+func (b *Balancer) PeerDigest(now time.Time, peer string, loads map[string]digest.Load) {
+	b.peers[peer] = peerLoad{at: now, targets: loads}
+	b.addPeers(now)
 }
 
-// PeerDigest takes a peer's digest, which replaces its former one.
-func (b *Balancer) PeerDigest(now time.Time, peer string, loads map[string]digest.Load) {
-	held := b.peers[peer]
-	held.at, held.targets = now, loads
-	if len(loads) > 0 {
-		held.busyAt = now
+// PeerGone forgets a peer that is no longer active at the service, or no longer heard.
+func (b *Balancer) PeerGone(now time.Time, peer string) {
+	if _, known := b.peers[peer]; !known {
+		return
 	}
-	b.peers[peer] = held
+	delete(b.peers, peer)
 	b.addPeers(now)
 }
 
@@ -59,7 +63,7 @@
 			inFlight[name] += l.InFlight
 		}
 	}
-	b.divide(now)
+	b.divide()
 	for _, t := range b.targets {
 		t.peersLong = long[t.record.Name]
 		if b.service.LoadHeader == "" {
--- a/core/balancer/home.go
+++ b/core/balancer/home.go
@@ -3,14 +3,13 @@
 import (
 	"hash/fnv"
 	"slices"
-	"time"
 )
 
 // divide gives each active entry its part of the slots. Entries that agree on who is active agree on the parts without
 // a word, and need not guess at each other's load as long as they keep to them; entries that disagree for a while share
 // some slots and leave others to overflow.
-func (b *Balancer) divide(now time.Time) {
-	active := b.activeEntries(now)
+func (b *Balancer) divide() {
+	active := b.activeEntries()
 	if slices.Equal(active, b.active) {
 		return
 	}
@@ -19,12 +18,10 @@
 }
 
 // activeEntries returns, in order, the names of the entries that have sent to the service lately, this one included.
-func (b *Balancer) activeEntries(now time.Time) []string {
+func (b *Balancer) activeEntries() []string {
 	active := []string{b.Self}
-	for name, p := range b.peers {
-		if !p.busyAt.IsZero() && now.Sub(p.busyAt) <= digestLifetime {
-			active = append(active, name)
-		}
+	for name := range b.peers {
+		active = append(active, name)
 	}
 	slices.Sort(active)
 	return active
--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -20,6 +20,7 @@
 // Submit asks for a target: the answer is to send, to wait for a later decision from Poll, or to refuse.
 func (b *Balancer) Submit(now time.Time, r request.Request) decision.Decision {
 	b.nextID++
+	b.busyAt = now
 	r.ID = b.nextID
 	state := b.rule(r.Rule.Name, r.Rule.RetryRatio, r.Rule.HedgeRatio)
 	state.retries.First()
--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -128,6 +128,7 @@
 	l.mesh.Log("peer").WithField("peer", l.name).Info("Connected to a peer.")
 	go l.inform(ctx, reply.GetHello().GetLeaving())
 	l.mesh.pullIfBehind(l.name, reply.GetHello().GetRevision())
+	l.send(&peerpb.Envelope{Version: newestVersion, Body: &peerpb.Envelope_Digest{Digest: l.mesh.digest()}})
 	for {
 		select {
 		case <-ctx.Done():
--- a/entry/peer/mesh.go
+++ b/entry/peer/mesh.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"poplarworks/core/answer"
 	"poplarworks/core/balancer"
 	"poplarworks/core/catalog"
@@ -33,6 +37,7 @@
 	listInterval      = time.Second
 	digestInterval    = 250 * time.Millisecond
 	longInterval      = 5 * time.Millisecond // between digests while long requests start and end
+	repeatInterval    = 10 * time.Second     // between digests that say the same
 	pullInterval      = time.Second
 	pullTimeout       = 5 * time.Second
 	informPatience    = 2 * time.Second // in which a new entry probes its targets, too
@@ -198,7 +203,9 @@
 	m.members.Tick(m.Now())
 	m.sequence++
 	sequence := m.sequence
+	silent := m.silent()
 	m.mu.Unlock()
+	m.forget(silent)
 	m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{
 		Name:        m.Settings.Name,
 		Incarnation: m.Incarnation,
@@ -211,6 +218,28 @@
 	}
 }
 
+// silent names the members that are not heard at present; it is called with the lock held.
+func (m *Mesh) silent() []string {
+	var names []string
+	for _, member := range m.members.All() {
+		if member.State != memberlife.Alive {
+			names = append(names, member.Name)
+		}
+	}
+	return names
+}
+
+// forget takes silent members out of the division of the slots.
+func (m *Mesh) forget(names []string) {
+	for _, s := range m.Services.All() {
+		s.Do(func(b *balancer.Balancer, now time.Time) {
+			for _, name := range names {
+				b.PeerGone(now, name)
+			}
+		})
+	}
+}
+
 func (m *Mesh) broadcast(e *peerpb.Envelope) {
 	e.Version = newestVersion
 	m.mu.Lock()
@@ -239,12 +268,13 @@
 	m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Crash{Crash: &peerpb.Crash{Fingerprint: fingerprint[:], Target: target}}})
 }
 
-// sendDigests tells the peers of own requests in flight: at once when long ones change, and else now and then. Nothing is
-// said twice: an entry without requests is silent after it has said so.
+// sendDigests tells the peers at once when long requests start or end or services become active, and else says the same
+// again now and then, for peers that missed it.
 func (m *Mesh) sendDigests(ctx context.Context) {
 	ticker := time.NewTicker(digestInterval)
 	defer ticker.Stop()
-	silent := false
+	var sent *peerpb.Digest
+	var sentAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -254,31 +284,34 @@
 		case <-ticker.C:
 		}
 		wire := m.digest()
-		empty := len(wire.GetServices()) == 0
-		if !empty || !silent {
-			m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Digest{Digest: wire}})
+		if proto.Equal(wire, sent) && m.Now().Sub(sentAt) < repeatInterval {
+			continue
 		}
-		silent = empty
+		sent, sentAt = wire, m.Now()
+		m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Digest{Digest: wire}})
 	}
 }
 
-// digest leaves out services without a request in flight; what a digest leaves out has none.
+// digest names the services at which this entry is active, in order, so that equal digests look equal.
 func (m *Mesh) digest() *peerpb.Digest {
 	wire := &peerpb.Digest{Name: m.Settings.Name}
-	for name, s := range m.Services.All() {
+	all := m.Services.All()
+	for _, name := range slices.Sorted(maps.Keys(all)) {
 		var loads map[string]digest.Load
-		s.Do(func(b *balancer.Balancer, _ time.Time) { loads = b.Digest() })
+		var active bool
+		all[name].Do(func(b *balancer.Balancer, now time.Time) { loads, active = b.Digest(now) })
+		if !active && len(loads) == 0 {
+			continue
+		}
 		part := &peerpb.ServiceLoad{Service: name}
-		for target, l := range loads {
+		for _, target := range slices.Sorted(maps.Keys(loads)) {
 			part.Targets = append(part.Targets, &peerpb.TargetLoad{
 				Target:       target,
-				InFlight:     uint32(l.InFlight),
-				LongInFlight: uint32(l.Long),
+				InFlight:     uint32(loads[target].InFlight),
+				LongInFlight: uint32(loads[target].Long),
 			})
 		}
-		if len(loads) > 0 {
-			wire.Services = append(wire.Services, part)
-		}
+		wire.Services = append(wire.Services, part)
 	}
 	return wire
 }
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -177,7 +177,7 @@
 	s.Do(func(b *balancer.Balancer, now time.Time) { b.Leave(now, l.GetTarget()) })
 }
 
-// receiveDigest takes a peer's loads; a service that it leaves out has none there any more.
+// receiveDigest takes a peer's loads; at a service that it leaves out it is no longer active.
 func (m *Mesh) receiveDigest(d *peerpb.Digest) {
 	loads := map[string]map[string]digest.Load{}
 	for _, part := range d.GetServices() {
@@ -188,10 +188,12 @@
 		loads[part.GetService()] = targets
 	}
 	for name, s := range m.Services.All() {
-		targets, busy := loads[name]
+		targets, active := loads[name]
 		s.Do(func(b *balancer.Balancer, now time.Time) {
-			if busy || b.Knows(d.GetName()) {
+			if active {
 				b.PeerDigest(now, d.GetName(), targets)
+			} else {
+				b.PeerGone(now, d.GetName())
 			}
 		})
 	}
