Start the harness's processes from one lasting thread

The parent-death signal goes out when the thread that started a process ends; which thread that was, was left to the scheduler. Ruled out: a panic (exit code 2), an invariant (3), the injector (it holds the entry while it kills it).

--- a/measure/proc/process.go
+++ b/measure/proc/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,7 +42,7 @@
 	command.Stdout, command.Stderr = log, log
 	// A process must not outlive a harness that is killed.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := command.Start(); err != nil {
+	if err := startOnOwnThread(command); err != nil {
 		_ = log.Close()
 		return errors.Wrap(err, p.Name)
 	}
@@ -60,6 +61,25 @@
 	return nil
 }
 
+// starts runs functions on one thread that lives as long as the harness: the kernel sends the parent-death signal when the
+// thread that started a process ends, not when the program does.
+var starts = sync.OnceValue(func() chan<- func() {
+	calls := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for call := range calls {
+			call()
+		}
+	}()
+	return calls
+})
+
+func startOnOwnThread(command *exec.Cmd) error {
+	result := make(chan error, 1)
+	starts() <- func() { result <- command.Start() }
+	return <-result
+}
+
 // LogFile returns the name of the file with the output.
 func (p *Process) LogFile() string {
 	return filepath.Join(p.LogDir, p.Name+".log")
