--- /dev/null
+++ b/entry/peer/version_test.go
@@ -0,0 +1,131 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"poplarworks/core/answer"
+	"poplarworks/core/catalog"
+	"poplarworks/core/quarantine"
+	"poplarworks/core/record"
+	"poplarworks/entry/common"
+	"poplarworks/entry/dispatch"
+	"poplarworks/entry/peerpb"
+	"poplarworks/entry/settings"
+)
+
+// fakes stand in for the parts that the mesh speaks to.
+type fakes struct {
+	crashes chan string
+}
+
+func (f *fakes) Catalog() *catalog.Catalog                            { return &catalog.Catalog{} }
+func (f *fakes) Complete() uint64                                     { return 7 }
+func (f *fakes) Ready() bool                                          { return true }
+func (f *fakes) Above(uint64) ([]record.Record, uint64)               { return nil, 7 }
+func (f *fakes) Receive([]record.Record, uint64)                      {}
+func (f *fakes) Await(context.Context, string) (*answer.Answer, bool) { return nil, false }
+func (f *fakes) Heard(_ quarantine.Fingerprint, target string) bool   { f.crashes <- target; return true }
+func (f *fakes) Get(string) (*dispatch.Service, bool)                 { return nil, false }
+func (f *fakes) All() map[string]*dispatch.Service                    { return nil }
+func (f *fakes) LongChanged() <-chan struct{}                         { return nil }
+
+// connect starts a mesh and returns a stream to it.
+func connect(t *testing.T) (net.Conn, *fakes) {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	free, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(free.Addr().String())
+	_ = free.Close()
+	f := &fakes{crashes: make(chan string, 1)}
+	m := &Mesh{
+		Common: &common.Common{
+			Settings: settings.Settings{Name: "entry-1", PeerAddress: address}, Logger: logger, Metrics: metrics.NewRegistry(),
+		},
+		Records: f, Claims: f, Crashes: f, Services: f, Leaving: func() bool { return false },
+	}
+	if err := m.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	socket, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	session, err := yamux.Client(socket, yamuxConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream, err := session.Open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = stream.SetDeadline(time.Now().Add(5 * time.Second))
+	return stream, f
+}
+
+func TestVersions(t *testing.T) {
+	scenarios := []struct {
+		name           string
+		oldest, newest uint32
+		want           bool
+	}{
+		{"the same version", 1, 1, true},
+		{"a newer entry that still speaks this one", 1, 9, true},
+		{"a newer entry that does not", 5, 9, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			stream, _ := connect(t)
+			hello := &peerpb.Envelope{Version: s.newest, Body: &peerpb.Envelope_Hello{Hello: &peerpb.Hello{
+				Name: "entry-2", OldestVersion: s.oldest, NewestVersion: s.newest,
+			}}}
+			if _, err := protodelim.MarshalTo(stream, hello); err != nil {
+				t.Fatal(err)
+			}
+			reply, err := readEnvelope(bufio.NewReader(stream))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := reply.GetHello() != nil; got != s.want {
+				t.Errorf("got greeted %t, want %t", got, s.want)
+			}
+		})
+	}
+}
+
+func TestMessagesOfANewerEntryAreSkipped(t *testing.T) {
+	stream, f := connect(t)
+	unknown := protowire.AppendTag(nil, 99, protowire.BytesType)
+	unknown = protowire.AppendBytes(unknown, []byte("of a later version"))
+	if _, err := stream.Write(append(protowire.AppendVarint(nil, uint64(len(unknown))), unknown...)); err != nil {
+		t.Fatal(err)
+	}
+	crash := &peerpb.Envelope{Version: 1, Body: &peerpb.Envelope_Crash{Crash: &peerpb.Crash{Fingerprint: make([]byte, 16), Target: "t1"}}}
+	if _, err := protodelim.MarshalTo(stream, crash); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case got := <-f.crashes:
+		if got != "t1" {
+			t.Errorf("got %q, want t1", got)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("got nothing after an unknown message, want the one that followed it")
+	}
+}
--- a/measure/added/command.go
+++ b/measure/added/command.go
@@ -145,8 +145,9 @@
 	table.Print(out)
 	calls := result.Class(through).Sent
 	_, _ = fmt.Fprintf(out, "CPU of the entry for each call: %v\n", (used / time.Duration(max(1, calls))).Round(100*time.Nanosecond))
-	_, _ = fmt.Fprintf(out, "memory of the entry at %d idle callers' connections: %.1f MB, before: %.1f MB\n",
-		idleCallers, b.memoryWithCallers(ctx), megabytes(process.Memory()))
+	alone := megabytes(process.Memory())
+	_, _ = fmt.Fprintf(out, "memory of the entry: %.1f MB, with %d idle callers' connections more: %.1f MB\n",
+		alone, idleCallers, b.memoryWithCallers(ctx))
 	verdict := &report.Verdict{Out: out}
 	added := result.Class(through).Quantile(99) - result.Class(direct).Quantile(99)
 	verdict.AtMost("ms added at p99", float64(added)/float64(time.Millisecond), addedBound)
