Serve waiting callers in turn

The balancer took a waiting request by Peek and then removed it by its id, which walks the whole queue and does not move on to the next caller: the first caller's requests went first until it had none left. The queue's own tests passed, since they take by Pop.

Change: Take removes what Peek names and moves on; Pop is Take after a look at the waits. A new test failed before (the second caller came third) and passes now.

--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -307,6 +307,34 @@
 	}
 }
 
+func TestWaitingCallersAreServedInTurn(t *testing.T) {
+	d := drive(t, record(1, 1))
+	d.serve(20, nil)
+	var running []decision.Decision
+	for sent := d.submit(d.rule); ; sent = d.submit(d.rule) {
+		if sent.Kind != decision.Send {
+			break
+		}
+		running = append(running, sent)
+	}
+	d.submit(d.rule)
+	other := d.Submit(d.now, request.Request{Rule: &d.rule, Caller: "other", Arrived: d.now, Deadline: d.now.Add(time.Second)})
+	place := 0
+	for place = 1; place <= 3; place++ {
+		d.finish(running[0], outcome.Answered, 10*time.Millisecond)
+		running = d.Poll(d.now)
+		if len(running) != 1 {
+			t.Fatalf("got %d sent for one slot that came free, want 1", len(running))
+		}
+		if running[0].ID == other.ID {
+			break
+		}
+	}
+	if place != 2 {
+		t.Errorf("got the second caller served as number %d, want 2, before the first one's second request", place)
+	}
+}
+
 func TestRetries(t *testing.T) {
 	once := shortRule()
 	once.Idempotent = false
--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -177,7 +177,7 @@
 		if !ok {
 			break
 		}
-		queue.Remove(item.ID)
+		queue.Take()
 		delete(b.waiting, item.ID)
 		decisions = append(decisions, d)
 	}
--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -79,6 +79,11 @@
 // Pop removes the item to serve next.
 func (q *Queue) Pop(now time.Time) (Item, bool) {
 	q.observe(now)
+	return q.Take()
+}
+
+// Take removes the item that Peek names.
+func (q *Queue) Take() (Item, bool) {
 	for p := levels - 1; p >= 0; p-- {
 		if l := &q.levels[p]; len(l.flows) > 0 {
 			q.length--
@@ -88,7 +93,7 @@
 	return Item{}, false
 }
 
-// Peek returns the item that Pop would remove.
+// Peek returns the item that Take would remove.
 func (q *Queue) Peek() (Item, bool) {
 	for p := levels - 1; p >= 0; p-- {
 		l := &q.levels[p]
--- a/measure/chaos/history.go
+++ b/measure/chaos/history.go
@@ -27,7 +27,6 @@
 
 // write is a record that an operator was told is accepted.
 type write struct {
-	operator int
 	replaced uint64
 	revision uint64
 }
--- a/measure/chaos/operators.go
+++ b/measure/chaos/operators.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		r.history.count("writes accepted")
-		r.history.addWrite(write{operator: operator, replaced: held.Revision, revision: accepted.Revision})
+		r.history.addWrite(write{replaced: held.Revision, revision: accepted.Revision})
 	}
 }
 
