Take the words of callers and targets through an interface; ask targets before a choice

The exchange speaks to callers and targets through the protocol that its composition gives it. A connection to a target is now read by the exchange itself, so that a late answer to an earlier request is told apart and skipped, surplus bytes close the connection, and no goroutine is held for an idle one. A service may have some of its targets asked for their load at the moment of the choice.

The claims test hung once for 10 minutes: the stand-in's handler waited for its client to leave without having read the body, which net/http notices only after the body was read. It reads the body first now.

--- /dev/null
+++ b/core/balancer/ask.go
@@ -0,0 +1,109 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"poplarworks/core/lifecycle"
+	"poplarworks/core/report"
+	"poplarworks/core/request"
+	"poplarworks/core/service"
+)
+
+const (
+	reportUseful  = 100 * time.Millisecond // after which a report of slowness says little: it shifts about as often
+	avoidSlow     = 2.0                    // reported slowdown above which a target is not asked again while the report is useful
+	coldFactor    = 2.0                    // how much slower a target works while it is cold
+	crowdedShare  = 0.8                    // share of taken slots above which targets slow down
+	crowdedFactor = 1.3                    // cost of taking a slot above that share
+	farPenalty    = 3.0                    // cost of a large answer's way between data centres, in times of an idle target's answer
+	errorCost     = 8.0                    // cost of a target whose every attempt fails, in addition, as a multiple
+	busyCost      = 0.1                    // breaks ties between targets with free slots
+)
+
+// reported takes a load report.
+func (t *target) reported(now time.Time, r report.Report) {
+	t.load.Report(now, r.InFlight())
+	if r.Slots > 0 {
+		t.report, t.reportAt, t.sentSince = r, now, 0
+	}
+}
+
+// same reports whether the record is of this incarnation.
+func (t *target) same(record service.Target) bool {
+	return t.record.Name == record.Name && t.record.Address == record.Address && t.record.Started.Equal(record.Started)
+}
+
+// slowdown returns how many times longer than usual work takes at the target, by its last report.
+func (t *target) slowdown() float64 {
+	return max(1, t.report.Slowdown)
+}
+
+// reportedCost is the expected time to an answer as a multiple of that of an idle target, by the last report and what
+// was sent since.
+func (t *target) reportedCost(now time.Time) float64 {
+	slots := float64(t.report.Slots)
+	held := float64(t.report.InFlight() + t.sentSince)
+	cost := 1 + max(0, held+1-slots)/slots
+	if held+1 > crowdedShare*slots {
+		cost *= crowdedFactor
+	}
+	cost *= t.slowdown()
+	if now.Before(t.record.ColdUntil) {
+		cost *= coldFactor
+	}
+	cost += busyCost * held / slots
+	return cost * (1 + errorCost*t.score.ErrorShare())
+}
+
+// Candidates draws the targets that are to be asked for their load before the request is submitted. A target that has
+// just reported that it is slow is left out while others can be drawn.
+func (b *Balancer) Candidates(now time.Time, r request.Request) []service.Target {
+	most := min(b.service.Asked, len(b.targets))
+	if most <= 0 {
+		return nil
+	}
+	near, far := b.draw(now, r)
+	order := append(near, far...)
+	slices.SortStableFunc(order, func(x, y *target) int { return int(x.unlikely(now)) - int(y.unlikely(now)) })
+	drawn := make([]service.Target, 0, most)
+	for _, t := range order[:min(most, len(order))] {
+		drawn = append(drawn, t.record)
+	}
+	return drawn
+}
+
+// draw returns the open targets in random order; for a large answer those of this data centre come first.
+func (b *Balancer) draw(now time.Time, r request.Request) (near, far []*target) {
+	panicking := b.census.panicking()
+	for _, i := range b.Random.Perm(len(b.targets)) {
+		t := b.targets[i]
+		if !t.open(now, panicking) || slices.Contains(r.Tried, t.record.Name) {
+			continue
+		}
+		if r.Rule.Large && t.record.DataCentre != b.Home {
+			far = append(far, t)
+			continue
+		}
+		near = append(near, t)
+	}
+	return near, far
+}
+
+// unlikely ranks targets that will probably not be chosen behind the others.
+func (t *target) unlikely(now time.Time) int8 {
+	if now.Sub(t.reportAt) < reportUseful && t.slowdown() > avoidSlow {
+		return 1
+	}
+	if t.machine.State() == lifecycle.Trial {
+		return -1
+	}
+	return 0
+}
+
+// Unreachable notes that a target did not answer when it was asked for its load.
+func (b *Balancer) Unreachable(now time.Time, name string) {
+	if i, ok := b.byName[name]; ok {
+		b.fail(now, b.targets[i], failurePenalty)
+	}
+}
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -35,6 +35,7 @@
 // use.
 type Balancer struct {
 	Self   string // name of this entry
+	Home   string // data centre of this entry
 	Picker Picker
 	Random *rand.Rand
 	Check  *invariant.Checker
@@ -52,6 +53,7 @@
 	free     []int    // indices of targets where this entry has a slot of its own free
 	active   []string // entries that send to the service, this one included, in order
 	scratch  view     // reused, so that a pick allocates nothing
+	extra    budget.Share
 	started  time.Time
 	nextID   uint64
 	busyAt   time.Time // when the last request came
@@ -103,6 +105,7 @@
 			b.targets = append(b.targets, t)
 		}
 	}
+	b.extra.Ratio, b.extra.Cap, b.extra.Initial = s.ExtraRatio, s.ExtraBurst, s.ExtraBurst
 	b.allot()
 	b.count()
 }
@@ -110,9 +113,12 @@
 // adopt returns the target as it was known, or a new one.
 func (b *Balancer) adopt(now time.Time, known []*target, record service.Target, first bool) *target {
 	for _, t := range known {
-		if t.record.Name == record.Name && t.record.Address == record.Address && !t.removed {
+		if !t.removed && t.same(record) {
 			t.record = record
 			t.configure(b.service, len(b.active))
+			if record.Leaving {
+				b.leave(now, t)
+			}
 			return t
 		}
 	}
@@ -121,6 +127,9 @@
 		// At the start of an entry every target is new to it, and none of them is cold.
 		t.warm()
 	}
+	if record.Leaving {
+		b.leave(now, t)
+	}
 	return t
 }
 
--- a/core/balancer/bench_test.go
+++ b/core/balancer/bench_test.go
@@ -7,6 +7,7 @@
 
 	"poplarworks/core/decision"
 	"poplarworks/core/outcome"
+	"poplarworks/core/report"
 	"poplarworks/core/request"
 )
 
@@ -21,7 +22,7 @@
 			for range targets {
 				busy = append(busy, d.submit(r))
 			}
-			o := outcome.Outcome{Kind: outcome.Answered, Latency: 10 * time.Millisecond, HasReport: true, InFlight: 2}
+			o := outcome.Outcome{Kind: outcome.Answered, Latency: 10 * time.Millisecond, HasReport: true, Report: report.Report{Running: 2}}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				d.now = d.now.Add(50 * time.Microsecond)
--- a/core/balancer/finish.go
+++ b/core/balancer/finish.go
@@ -24,7 +24,7 @@
 	t := a.target
 	b.finished.add(now)
 	if o.HasReport {
-		t.load.Report(now, o.InFlight)
+		t.reported(now, o.Report)
 	}
 	t.load.Done()
 	b.enlist(t)
--- a/core/balancer/leaving_test.go
+++ b/core/balancer/leaving_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"poplarworks/core/report"
 	"testing"
 	"time"
 
@@ -23,7 +24,7 @@
 			}
 			d.Finish(d.now, sent.ID, outcome.Outcome{Kind: outcome.Answered, Latency: time.Millisecond, Draining: true})
 		}},
-		{"a probe", func(d *driver) { d.Probed(d.now, "t1", 0, true) }},
+		{"a probe", func(d *driver) { d.Probed(d.now, "t1", report.Report{}, true) }},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
--- a/core/balancer/probes.go
+++ b/core/balancer/probes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"poplarworks/core/lifecycle"
+	"poplarworks/core/report"
 )
 
 const probeUsefulAge = 30 * time.Millisecond
@@ -43,12 +44,12 @@
 }
 
 // Probed takes the answer to a probe; a probe that failed says nothing of the load.
-func (b *Balancer) Probed(now time.Time, name string, inFlight int, draining bool) {
+func (b *Balancer) Probed(now time.Time, name string, r report.Report, draining bool) {
 	i, ok := b.byName[name]
 	if !ok {
 		return
 	}
-	b.targets[i].load.Report(now, inFlight)
+	b.targets[i].reported(now, r)
 	if draining {
 		b.leave(now, b.targets[i])
 	}
--- a/core/balancer/random_test.go
+++ b/core/balancer/random_test.go
@@ -8,6 +8,7 @@
 
 	"poplarworks/core/decision"
 	"poplarworks/core/outcome"
+	"poplarworks/core/report"
 	"poplarworks/core/request"
 	"poplarworks/core/rule"
 	"poplarworks/core/stop"
@@ -92,7 +93,7 @@
 		}).Draw(rt, "kind"),
 		Latency:   time.Duration(rapid.IntRange(1, 500).Draw(rt, "latency")) * time.Millisecond,
 		HasReport: rapid.Bool().Draw(rt, "report"),
-		InFlight:  rapid.IntRange(0, 20).Draw(rt, "in flight"),
+		Report:    report.Report{Running: rapid.IntRange(0, 20).Draw(rt, "in flight")},
 		Draining:  rapid.IntRange(0, 30).Draw(rt, "drain") == 0,
 	}
 	r.Finish(r.now, id, o)
--- a/core/balancer/retry.go
+++ b/core/balancer/retry.go
@@ -9,7 +9,10 @@
 	"poplarworks/core/rule"
 )
 
-const hedgeSamples = 100
+const (
+	hedgeSamples = 100
+	hedgeReserve = 0.5 // share of a common budget that is kept for retries
+)
 
 // Retry asks for another target after an attempt that has ended, and reports whether the rule and the retry budget
 // allow one. The request keeps its ID and names the targets that it has tried.
@@ -18,7 +21,7 @@
 		return decision.Decision{}, false
 	}
 	state := b.rule(r.Rule.Name, r.Rule.RetryRatio, r.Rule.HedgeRatio)
-	if now.Add(state.expected()).After(r.Deadline) || !b.anyOpen(now, r) || !state.retries.Take() {
+	if now.Add(state.expected()).After(r.Deadline) || !b.anyOpen(now, r) || !b.takeRetry(state) {
 		return decision.Decision{}, false
 	}
 	d := b.decide(now, r, state)
@@ -52,14 +55,42 @@
 // Hedge asks for a second target while the first attempt is in flight; it never waits.
 func (b *Balancer) Hedge(now time.Time, r request.Request) (decision.Decision, bool) {
 	state, ok := b.rules[r.Rule.Name]
-	if !ok || b.Waiting() > 0 || !b.anyOpen(now, r) || state.hedges.Tokens() < 1 {
+	if !ok || r.Attempt >= r.Rule.MaxAttempts || b.Waiting() > 0 || !b.anyOpen(now, r) || !b.mayHedge(state) {
 		return decision.Decision{}, false
 	}
 	b.nextID++
 	r.ID = b.nextID
 	d, sent := b.send(now, r, false, state)
 	if sent {
-		state.hedges.Take()
+		b.takeHedge(state)
 	}
 	return d, sent
 }
+
+// sharesExtra reports whether one budget covers the extra attempts of all rules.
+func (b *Balancer) sharesExtra() bool {
+	return b.service.ExtraBurst > 0
+}
+
+func (b *Balancer) takeRetry(state *ruleState) bool {
+	if b.sharesExtra() {
+		return b.extra.Take()
+	}
+	return state.retries.Take()
+}
+
+// mayHedge leaves half of a common budget to retries, which save requests that are lost otherwise.
+func (b *Balancer) mayHedge(state *ruleState) bool {
+	if b.sharesExtra() {
+		return b.extra.Tokens() >= max(1, hedgeReserve*b.service.ExtraBurst)
+	}
+	return state.hedges.Tokens() >= 1
+}
+
+func (b *Balancer) takeHedge(state *ruleState) {
+	if b.sharesExtra() {
+		b.extra.Take()
+		return
+	}
+	state.hedges.Take()
+}
--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -25,6 +25,7 @@
 	state := b.rule(r.Rule.Name, r.Rule.RetryRatio, r.Rule.HedgeRatio)
 	state.retries.First()
 	state.hedges.First()
+	b.extra.First()
 	return b.decide(now, r, state)
 }
 
@@ -117,7 +118,7 @@
 }
 
 func (b *Balancer) view(now time.Time, r request.Request, long bool) *view {
-	b.scratch = view{b: b, now: now, long: long, panic: b.census.panicking(), tried: r.Tried}
+	b.scratch = view{b: b, now: now, long: long, large: r.Rule.Large, panic: b.census.panicking(), tried: r.Tried}
 	return &b.scratch
 }
 
@@ -137,6 +138,7 @@
 	t.load.Sent()
 	b.delist(t)
 	t.sent++
+	t.sentSince++
 	t.lastSent = now
 	if long {
 		t.long++
@@ -144,7 +146,7 @@
 	} else {
 		t.score.Begin(r.ID, now, a.expected)
 	}
-	return decision.Decision{ID: r.ID, Kind: decision.Send, Name: t.record.Name, Address: t.record.Address}, true
+	return decision.Decision{ID: r.ID, Kind: decision.Send, Name: t.record.Name, Address: t.record.Address, Instance: t.record.Instance}, true
 }
 
 // Poll sends or refuses requests that wait; call it after Finish, and every millisecond while any wait.
--- a/core/balancer/target.go
+++ b/core/balancer/target.go
@@ -8,6 +8,7 @@
 	"poplarworks/core/limiter"
 	"poplarworks/core/load"
 	"poplarworks/core/probebudget"
+	"poplarworks/core/report"
 	"poplarworks/core/service"
 	"poplarworks/core/slowness"
 )
@@ -30,14 +31,18 @@
 type target struct {
 	record  service.Target
 	slots   float64
-	share   int // connections that this entry may use
+	share   int  // connections that this entry may use
+	asked   bool // targets of the service are asked for their load before each choice
 	ramp    time.Duration
 	removed bool // no longer in the record
 	stopped bool // a planned stop is in force
 
-	index     int // in the list of targets
-	freeAt    int // place in the list of targets with a free slot, or -1
-	home      int // slots that this entry counts as its own
+	index     int           // in the list of targets
+	freeAt    int           // place in the list of targets with a free slot, or -1
+	home      int           // slots that this entry counts as its own
+	report    report.Report // newest load report with slots
+	reportAt  time.Time
+	sentSince int // requests sent since the report
 	machine   lifecycle.Machine
 	load      load.Estimate
 	score     slowness.Score
@@ -78,6 +83,7 @@
 	t.slots = float64(s.Slots)
 	t.share = s.ConnectionsPerEntry()
 	t.ramp = s.Ramp
+	t.asked = s.Asked > 0
 	t.probes.PerWindow = s.ProbesPerEntry()
 	t.limit.Min = 1
 	part := math.Ceil(t.slots / float64(max(1, active)))
@@ -119,6 +125,9 @@
 
 func (t *target) fits(now time.Time, long bool) bool {
 	own := t.load.Own()
+	if t.asked {
+		return own < t.share
+	}
 	limit := math.Max(1, t.limit.Current()*t.rampFraction(now))
 	if float64(own)+1 > limit || own >= t.share {
 		return false
@@ -133,6 +142,9 @@
 // cost is the expected time to an answer as a multiple of that of an idle, healthy target. Slowness counts only beyond
 // what the spread of ordinary requests explains.
 func (t *target) cost(now time.Time) float64 {
+	if t.asked && t.report.Slots > 0 && now.Sub(t.reportAt) < reportUseful {
+		return t.reportedCost(now)
+	}
 	busy := 1 + t.load.At(now)/t.slots
 	slow := math.Max(1, t.score.Ratio(now)/ordinaryRatio)
 	return busy * slow / t.rampFraction(now)
--- a/core/balancer/view.go
+++ b/core/balancer/view.go
@@ -11,6 +11,7 @@
 	now   time.Time
 	long  bool
 	panic bool
+	large bool // the answer is too large to cross data centres for little
 	tried []string
 }
 
@@ -38,7 +39,17 @@
 func (v *view) Own(i int) int { return v.b.targets[i].load.Own() }
 
 // Cost returns the expected time to an answer.
-func (v *view) Cost(i int) float64 { return v.b.targets[i].cost(v.now) }
+func (v *view) Cost(i int) float64 {
+	t := v.b.targets[i]
+	cost := t.cost(v.now)
+	if v.large && t.record.DataCentre != v.b.Home {
+		cost += farPenalty
+	}
+	return cost
+}
+
+// ReportAge returns how old the newest load report is.
+func (v *view) ReportAge(i int) time.Duration { return v.b.targets[i].load.Age(v.now) }
 
 // Name returns the name of the target.
 func (v *view) Name(i int) string { return v.b.targets[i].record.Name }
--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -23,6 +23,7 @@
 	Kind       Kind
 	Name       string // target, for Send
 	Address    netip.AddrPort
+	Instance   string        // by which the target knows itself, for Send
 	Code       code.Code     // for Refuse
 	RetryAfter time.Duration // for Refuse
 }
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -1,6 +1,10 @@
 package outcome
 
-import "time"
+import (
+	"time"
+
+	"poplarworks/core/report"
+)
 
 // Kind is the way in which an attempt ended.
 type Kind string
@@ -21,10 +25,10 @@
 	Kind       Kind
 	Latency    time.Duration
 	HasReport  bool
-	InFlight   int  // by the target's load report
-	Draining   bool // the answer carried the drain sign
-	Suspect    bool // the request itself is suspected of crashing targets
-	Downstream bool // the answer comes from another entry further down, which has retried already
+	Report     report.Report // set if HasReport
+	Draining   bool          // the answer carried the drain sign
+	Suspect    bool          // the request itself is suspected of crashing targets
+	Downstream bool          // the answer comes from another entry further down, which has retried already
 }
 
 // NotRun reports whether the outcome proves that the target did not run the request.
--- a/core/picking/view.go
+++ b/core/picking/view.go
@@ -18,6 +18,8 @@
 	Own(i int) int
 	// Cost returns the expected time to an answer, as a multiple of that of an idle target.
 	Cost(i int) float64
+	// ReportAge returns how old the newest load report of the target is.
+	ReportAge(i int) time.Duration
 	// Name returns the name of the target.
 	Name(i int) string
 	// Now returns the time of the decision.
--- /dev/null
+++ b/core/report/doc.go
@@ -0,0 +1,2 @@
+// Package report describes what a target says of its own load.
+package report
--- a/core/rule/rule.go
+++ b/core/rule/rule.go
@@ -18,10 +18,17 @@
 // Priority says what is kept at the crest; a higher one is served first.
 type Priority int
 
+// Part is the share of one service in the requests of a rule.
+type Part struct {
+	Service string
+	Weight  float64
+}
+
 // Rule is what an operator's rule record says.
 type Rule struct {
 	Name           string
 	Service        string
+	Split          []Part   // instead of Service: the services that share the requests
 	Host           string   // exact host; empty matches every host
 	Methods        []string // empty matches every method
 	PathPrefix     string
@@ -38,6 +45,8 @@
 	MaxBody        int64         // bytes
 	MaxAnswerKept  int           // bytes of an answer that are held back, or kept with a claim
 	Retention      time.Duration // how long a claim and its answer are kept
+	Objective      time.Duration // time in which an answer has its full worth; zero if unknown
+	Large          bool          // answers are so large that they should not cross data centres
 }
 
 // Matches reports whether the rule covers a request.
--- a/core/service/service.go
+++ b/core/service/service.go
@@ -19,6 +19,9 @@
 	LoadHeader  string        // answer header that carries a load report; empty when there is none
 	DrainHeader string        // answer header by which a target says that it is leaving
 	Ramp        time.Duration // time over which a new target reaches its full share
+	Asked       int           // targets that are asked for their load before each choice; zero leaves it to what is known
+	ExtraRatio  float64       // extra attempts for each request, over all rules; used if ExtraBurst is set
+	ExtraBurst  float64       // extra attempts held in reserve by one entry; zero leaves the budgets to the rules
 }
 
 // Target is one server of a service.
@@ -26,6 +29,10 @@
 	Name       string
 	Address    netip.AddrPort
 	DataCentre string
+	Instance   string    // by which the target knows itself; empty if it is not told whom a request is meant for
+	Started    time.Time // tells two incarnations with one name apart; zero if unknown
+	ColdUntil  time.Time // end of the time in which the target is slow after its start
+	Leaving    bool
 }
 
 // ProbesPerEntry returns how many probes one entry may send to one target in any second.
--- a/entry/app/entry.go
+++ b/entry/app/entry.go
@@ -14,6 +14,7 @@
 	"poplarworks/entry/claims"
 	"poplarworks/entry/common"
 	"poplarworks/entry/crashes"
+	"poplarworks/entry/dialect"
 	"poplarworks/entry/dispatch"
 	"poplarworks/entry/dump"
 	"poplarworks/entry/exchange"
@@ -21,6 +22,7 @@
 	"poplarworks/entry/objects"
 	"poplarworks/entry/operator"
 	"poplarworks/entry/peer"
+	"poplarworks/entry/probe"
 	"poplarworks/entry/prober"
 	"poplarworks/entry/records"
 	"poplarworks/entry/store"
@@ -101,7 +103,11 @@
 func (e *entry) buildTargets() {
 	e.directory = &dispatch.Directory{Common: e.Common, NewPicker: e.newPicker}
 	e.pool = &target.Pool{Common: e.Common, Share: e.directory.Share}
-	e.prober = &prober.Prober{Common: e.Common, Services: e.directory, Targets: e.pool}
+	e.prober = &prober.Prober{Common: e.Common, Services: e.directory, Probes: &probe.Client{Targets: e.pool, Dialect: e.dialect()}}
+}
+
+func (e *entry) dialect() dialect.Own {
+	return dialect.Own{Entry: e.Settings.Name}
 }
 
 func (e *entry) buildPeers() {
@@ -127,6 +133,7 @@
 		Records:  e.records,
 		Services: e.directory,
 		Targets:  e.pool,
+		Dialect:  e.dialect(),
 		Claims:   e.claims,
 		Crashes:  e.crashes,
 		Ready:    func() bool { return e.health.State() != entrystate.Starting },
@@ -199,7 +206,6 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(signalled))
 	defer cancel()
 	e.directory.Start()
-	e.pool.Start()
 	e.crashes.Start()
 	e.claims.Start()
 	for _, start := range []func(context.Context) error{e.mesh.Start, e.operators.Start, e.callers.Start} {
--- /dev/null
+++ b/entry/asker/asker.go
@@ -0,0 +1,82 @@
+package asker
+
+import (
+	"context"
+	"time"
+
+	"poplarworks/core/balancer"
+	"poplarworks/core/request"
+	"poplarworks/core/service"
+	"poplarworks/entry/common"
+	"poplarworks/entry/dispatch"
+	"poplarworks/entry/probe"
+	"poplarworks/entry/relay"
+)
+
+const (
+	longestWait  = 15 * time.Millisecond  // a choice among reports that have come beats waiting longer for the rest
+	probeTimeout = 300 * time.Millisecond // a target that does not report its load within this time counts as failed
+)
+
+type prober interface {
+	Load(ctx context.Context, s *service.Service, t service.Target) (relay.Signs, error)
+}
+
+// Asker asks targets; its exported fields are set before use.
+type Asker struct {
+	*common.Common
+	Probes prober
+}
+
+// Ask returns when the targets drawn for the request have reported their load, or after a short wait.
+func (a *Asker) Ask(ctx context.Context, s *dispatch.Service, r request.Request) {
+	var drawn []service.Target
+	s.Do(func(b *balancer.Balancer, now time.Time) { drawn = b.Candidates(now, r) })
+	if len(drawn) == 0 {
+		return
+	}
+	reported := make(chan bool, len(drawn))
+	for _, t := range drawn {
+		go func() { reported <- a.ask(ctx, s, t) }()
+	}
+	timer := time.NewTimer(longestWait)
+	defer timer.Stop()
+	heard := 0
+	for range drawn {
+		select {
+		case ok := <-reported:
+			if ok {
+				heard++
+			}
+		case <-timer.C:
+			if heard > 0 {
+				return
+			}
+			a.Counter("asker.late").Inc(1)
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ask reports whether the target has reported its load.
+func (a *Asker) ask(ctx context.Context, s *dispatch.Service, t service.Target) bool {
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	begun := a.Now()
+	signs, err := a.Probes.Load(bounded, s.Record(), t)
+	a.Counter("probes.sent").Inc(1)
+	a.Histogram("probes.us").Update(a.Now().Sub(begun).Microseconds())
+	if err != nil {
+		a.Counter("probes.failed").Inc(1)
+		if !probe.Unwell(err) {
+			s.Do(func(b *balancer.Balancer, now time.Time) { b.Unreachable(now, t.Name) })
+		}
+		return false
+	}
+	s.Do(func(b *balancer.Balancer, now time.Time) {
+		b.Probed(now, t.Name, signs.Report, signs.Draining || signs.Elsewhere)
+	})
+	return true
+}
--- a/entry/exchange/answer.go
+++ b/entry/exchange/answer.go
@@ -98,7 +98,7 @@
 	for name := range from.Trailer {
 		header.Add("Trailer", name)
 	}
-	c.sign(header)
+	c.Dialect.Sign(header, c.id)
 	c.progress.begin(c.r, from)
 	c.w.WriteHeader(from.StatusCode)
 	if from.ContentLength < 0 {
@@ -107,14 +107,6 @@
 	return true
 }
 
-// sign names the entry that answers.
-func (c *call) sign(header http.Header) {
-	header.Set(relay.EntryHeader, c.Settings.Name)
-	if header.Get(relay.RequestIDHeader) == "" {
-		header.Set(relay.RequestIDHeader, c.id)
-	}
-}
-
 func (c *call) write(piece []byte) error {
 	_ = c.control.SetWriteDeadline(c.Now().Add(c.Settings.AnswerWriteTimeout))
 	n, err := c.w.Write(piece)
@@ -171,7 +163,7 @@
 	for _, f := range kept.Fields {
 		header.Add(f.Name, f.Value)
 	}
-	c.sign(header)
+	c.Dialect.Sign(header, c.id)
 	c.w.WriteHeader(kept.Status)
 	if c.r.Method != http.MethodHead {
 		_ = c.write(kept.Body)
--- a/entry/exchange/attempt.go
+++ b/entry/exchange/attempt.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,7 +12,6 @@
 	"poplarworks/core/code"
 	"poplarworks/core/decision"
 	"poplarworks/core/outcome"
-	"poplarworks/entry/relay"
 	"poplarworks/entry/target"
 )
 
@@ -31,7 +27,19 @@
 
 // attempts sends the request until an answer is to be given.
 func (c *call) attempts() result {
-	return c.loop(c.service.Submit(c.ctx, c.request))
+	return c.loop(c.submit())
+}
+
+// submit asks for a target, after a look at the load of some.
+func (c *call) submit() decision.Decision {
+	c.ask()
+	return c.service.Submit(c.ctx, c.request)
+}
+
+func (c *call) ask() {
+	if c.Asker != nil {
+		c.Asker.Ask(c.ctx, c.service, c.request)
+	}
 }
 
 func (c *call) loop(d decision.Decision) result {
@@ -41,7 +49,7 @@
 		}
 		if !c.service.Confirm(c.ctx, d.ID) {
 			c.service.Finish(d.ID, outcome.Outcome{Kind: outcome.Cancelled})
-			d = c.service.Submit(c.ctx, c.request)
+			d = c.submit()
 			continue
 		}
 		c.note(d)
@@ -49,6 +57,7 @@
 		if !c.mayGoOn(res) {
 			return res
 		}
+		c.ask()
 		next, ok := c.service.Retry(c.ctx, c.request, res.outcome)
 		if !ok {
 			return res
@@ -93,22 +102,31 @@
 	if after, ok := c.service.HedgeAfter(&c.rule); ok && c.held() && c.body.rest == nil {
 		return c.hedged(d, after)
 	}
-	return c.attempt(c.ctx, d)
+	return c.attempt(c.ctx, d, c.outgoing(d))
 }
 
 // attempt sends the request to one target and reads its answer, or streams it to the caller.
-func (c *call) attempt(ctx context.Context, d decision.Decision) result {
+func (c *call) attempt(ctx context.Context, d decision.Decision, outgoing *http.Request) result {
 	if c.ticket != nil && !c.ticket.Machine.Send() {
 		c.service.Finish(d.ID, outcome.Outcome{Kind: outcome.Cancelled})
 		return result{code: code.ClaimUnknown}
 	}
 	begun := c.Now()
-	exchange, sent, err := c.Targets.Begin(ctx, d.Address, c.outgoing(d), c.once())
+	exchange, sent, err := c.Targets.Begin(ctx, d.Address, outgoing, c.once())
 	if err != nil {
 		return c.failed(ctx, d, sent, err)
 	}
 	defer exchange.Close()
-	res := result{target: d.Name, outcome: c.readSigns(exchange.Answer.Header)}
+	signs := c.Dialect.Read(exchange.Answer, c.service.Record(), &c.rule)
+	res := result{target: d.Name, outcome: outcome.Outcome{
+		Report: signs.Report, HasReport: signs.HasReport, Draining: signs.Draining || signs.Elsewhere, Downstream: signs.Downstream,
+	}}
+	if signs.Foreign {
+		// The answer to this request may be lost, so that nothing is known of it.
+		res.outcome.Kind, res.code = outcome.Broken, code.TargetBroke
+		c.settle(d, &res)
+		return res
+	}
 	if c.committed.Load() {
 		c.resume(ctx, &res, exchange)
 		res.outcome.Latency = c.Now().Sub(begun)
@@ -117,7 +135,7 @@
 	}
 	status := exchange.Answer.StatusCode
 	switch {
-	case slices.Contains(c.rule.NotRunStatuses, status) && !doubtful(exchange.Answer.Header):
+	case signs.NotRun:
 		res.outcome.Kind = outcome.Shed
 		res.code = code.TargetRefused
 	case status >= http.StatusInternalServerError && status != http.StatusNotImplemented:
@@ -140,7 +158,7 @@
 
 func (c *call) outgoing(d decision.Decision) *http.Request {
 	reader, length := c.body.open(c.r.ContentLength)
-	fields := c.outgoingFields()
+	fields := c.outgoingFields(d)
 	if c.committed.Load() {
 		c.progress.ask(fields)
 	}
@@ -225,28 +243,3 @@
 		}
 	}
 }
-
-// readSigns reads what the target says of itself.
-func (c *call) readSigns(header http.Header) outcome.Outcome {
-	var o outcome.Outcome
-	record := c.service.Record()
-	o.InFlight, o.HasReport = target.ParseLoad(header.Get(record.LoadHeader))
-	o.Draining = record.DrainHeader != "" && header.Get(record.DrainHeader) != ""
-	o.Downstream = header.Get(relay.CodeHeader) != ""
-	return o
-}
-
-// doubtful reports whether an entry further down says that the request may have run.
-func doubtful(header http.Header) bool {
-	run := header.Get(relay.RunHeader)
-	return run != "" && run != string(code.NotRun)
-}
-
-// retriesBefore reads how many retries the layers before have made.
-func retriesBefore(header http.Header) int {
-	n, err := strconv.Atoi(strings.TrimSpace(header.Get(relay.AttemptHeader)))
-	if err != nil || n < 0 {
-		return 0
-	}
-	return n
-}
--- a/entry/exchange/call.go
+++ b/entry/exchange/call.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"poplarworks/core/code"
+	"poplarworks/core/decision"
 	"poplarworks/core/outcome"
 	"poplarworks/core/quarantine"
 	"poplarworks/core/request"
@@ -55,14 +55,11 @@
 func (c *call) refuse(r refusal.Refusal) {
 	c.Counter("caller.refused." + r.Code.Entry().Name).Inc(1)
 	c.Check.Hold(!c.committed.Load(), "a refusal after the answer began")
-	c.w.Header().Set(relay.EntryHeader, c.Settings.Name)
-	if c.id != "" {
-		c.w.Header().Set(relay.RequestIDHeader, c.id)
-	}
+	c.Dialect.Sign(c.w.Header(), c.id)
 	if r.Code == code.BodyTooLarge || r.Code == code.BodyTimeout || r.Code == code.Draining {
 		c.w.Header().Set("Connection", "close")
 	}
-	r.Write(c.w)
+	c.Dialect.Refuse(c.w, r)
 }
 
 // run says what may be said of the request so far.
@@ -116,13 +113,17 @@
 	}
 }
 
-func (c *call) outgoingFields() http.Header {
+func (c *call) outgoingFields(d decision.Decision) http.Header {
 	fields := relay.Copy(c.r.Header)
-	relay.Forward(fields, c.r.Host, c.origin)
 	fields.Del("Expect")
-	fields.Set(relay.RequestIDHeader, c.id)
-	fields.Set(relay.DeadlineHeader, strconv.FormatInt(max(1, c.left().Milliseconds()), 10))
-	fields.Set(relay.AttemptHeader, strconv.Itoa(c.request.Attempt-1))
+	c.Dialect.Outgoing(fields, relay.Sending{
+		ID:       c.id,
+		Instance: d.Instance,
+		Host:     c.r.Host,
+		Origin:   c.origin,
+		Left:     c.left(),
+		Retries:  c.request.Attempt - 1,
+	})
 	if fields.Get("User-Agent") == "" {
 		// An absent field must stay absent instead of naming this program's library.
 		fields["User-Agent"] = nil
--- a/entry/exchange/claimed.go
+++ b/entry/exchange/claimed.go
@@ -18,7 +18,7 @@
 // serveClaimed runs a request that must run at most once: it waits for a target, claims the key, and only then sends.
 func (c *call) serveClaimed() {
 	ticket := claims.NewTicket(c.rule.Service, c.identity(), c.key, c.contentPrint(), c.rule.Retention, c.Check)
-	d := c.service.Submit(c.ctx, c.request)
+	d := c.submit()
 	if res, ended := c.undecided(d); ended {
 		c.refuseUnclaimed(ticket, res)
 		return
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -12,11 +12,15 @@
 	"poplarworks/core/catalog"
 	"poplarworks/core/code"
 	"poplarworks/core/quarantine"
+	"poplarworks/core/request"
+	"poplarworks/core/rule"
+	"poplarworks/core/service"
 	"poplarworks/entry/buffers"
 	"poplarworks/entry/claims"
 	"poplarworks/entry/common"
 	"poplarworks/entry/dispatch"
 	"poplarworks/entry/refusal"
+	"poplarworks/entry/relay"
 	"poplarworks/entry/target"
 )
 
@@ -32,6 +36,21 @@
 	Begin(ctx context.Context, address netip.AddrPort, r *http.Request, once bool) (*target.Exchange, bool, error)
 }
 
+// protocol is how callers and targets name what goes beside a request and its answer.
+type protocol interface {
+	Left(fields http.Header) (time.Duration, bool)
+	Retries(fields http.Header) int
+	Outgoing(fields http.Header, s relay.Sending)
+	Read(answer *http.Response, s *service.Service, r *rule.Rule) relay.Signs
+	Sign(fields http.Header, id string)
+	Refuse(w http.ResponseWriter, r refusal.Refusal)
+}
+
+// asker asks targets for their load before one is chosen.
+type asker interface {
+	Ask(ctx context.Context, s *dispatch.Service, r request.Request)
+}
+
 type claimKeeper interface {
 	Claim(ctx context.Context, ticket *claims.Ticket) claims.Result
 	Look(ctx context.Context, ticket *claims.Ticket) claims.Result
@@ -51,6 +70,8 @@
 	Records  records
 	Services services
 	Targets  targets
+	Dialect  protocol
+	Asker    asker // nil if no service asks its targets
 	Claims   claimKeeper
 	Crashes  crashKeeper
 	Ready    func() bool                         // whether records and peers have been heard
--- a/entry/exchange/hedge.go
+++ b/entry/exchange/hedge.go
@@ -13,7 +13,8 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	results := make(chan result, 2)
-	go func() { results <- c.attempt(ctx, first) }()
+	outgoing := c.outgoing(first)
+	go func() { results <- c.attempt(ctx, first, outgoing) }()
 	timer := time.NewTimer(after)
 	defer timer.Stop()
 	select {
@@ -21,13 +22,15 @@
 		return res
 	case <-timer.C:
 	}
+	c.ask()
 	second, ok := c.service.Hedge(c.request)
 	if !ok {
 		return <-results
 	}
 	c.Counter("caller.hedges").Inc(1)
-	c.request.Tried = append(c.request.Tried, second.Name)
-	go func() { results <- c.attempt(ctx, second) }()
+	c.note(second)
+	again := c.outgoing(second)
+	go func() { results <- c.attempt(ctx, second, again) }()
 	res := <-results
 	if res.outcome.Kind == outcome.Answered {
 		cancel()
--- a/entry/exchange/prepare.go
+++ b/entry/exchange/prepare.go
@@ -7,9 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"strings"
-	"time"
 
 	"poplarworks/core/code"
 	"poplarworks/core/quarantine"
@@ -103,10 +101,8 @@
 func (c *call) setDeadline() {
 	now := c.Now()
 	span := c.rule.Deadline
-	if text := c.r.Header.Get(relay.DeadlineHeader); text != "" {
-		if ms, err := strconv.ParseInt(text, 10, 32); err == nil && ms > 0 {
-			span = min(span, time.Duration(ms)*time.Millisecond)
-		}
+	if left, ok := c.Dialect.Left(c.r.Header); ok {
+		span = min(span, left)
 	}
 	c.ctx, c.cancel = context.WithDeadline(c.r.Context(), now.Add(span))
 	c.request = request.Request{
@@ -114,7 +110,7 @@
 		Caller:   c.caller(),
 		Arrived:  now,
 		Deadline: now.Add(span),
-		Attempt:  retriesBefore(c.r.Header),
+		Attempt:  c.Dialect.Retries(c.r.Header),
 	}
 }
 
--- a/entry/exchange/rig_test.go
+++ b/entry/exchange/rig_test.go
@@ -29,6 +29,7 @@
 	"poplarworks/entry/claims"
 	"poplarworks/entry/common"
 	"poplarworks/entry/crashes"
+	"poplarworks/entry/dialect"
 	"poplarworks/entry/dispatch"
 	"poplarworks/entry/settings"
 	"poplarworks/entry/target"
@@ -103,14 +104,13 @@
 	}}
 	directory.Start()
 	pool := &target.Pool{Common: c, Share: func(netip.AddrPort) int { return 100 }}
-	pool.Start()
 	go pool.Run(ctx)
 	keeper := &crashes.Keeper{Common: c, Tell: func(quarantine.Fingerprint, string) {}}
 	keeper.Start()
 	r := &rig{t: t, client: &http.Client{Transport: &http.Transport{}}, claims: &fakeClaims{}, catalog: testCatalog(t, targets)}
 	directory.Configure(r.catalog)
 	r.handler = &Handler{
-		Common: c, Records: r, Services: directory, Targets: pool, Claims: r.claims, Crashes: keeper,
+		Common: c, Records: r, Services: directory, Targets: pool, Dialect: dialect.Own{Entry: "entry-1"}, Claims: r.claims, Crashes: keeper,
 		Ready: func() bool { return true }, Refusing: func() bool { return false }, Left: func(string, string) {}, Quota: &buffers.Quota{Max: 16 << 20},
 	}
 	server := httptest.NewServer(r.handler)
--- /dev/null
+++ b/entry/probe/doc.go
@@ -0,0 +1,2 @@
+// Package probe asks one target for its load.
+package probe
--- a/entry/prober/prober.go
+++ b/entry/prober/prober.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"net/netip"
-	"net/url"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"poplarworks/core/balancer"
 	"poplarworks/core/probebudget"
+	"poplarworks/core/service"
 	"poplarworks/entry/common"
 	"poplarworks/entry/dispatch"
-	"poplarworks/entry/target"
+	"poplarworks/entry/relay"
 )
 
 const (
@@ -23,25 +19,22 @@
 	restInterval = 50 * time.Millisecond  // while no service is probed
 	idlePeriod   = 250 * time.Millisecond // between looks at a service without probes
 	probeTimeout = 500 * time.Millisecond
-	answerBytes  = 64 << 10
 )
 
-var errNoReport = errors.New("the probe's answer has no load report")
-
 type services interface {
 	All() map[string]*dispatch.Service
 	Stalls() int
 }
 
-type targets interface {
-	Begin(ctx context.Context, address netip.AddrPort, r *http.Request, once bool) (*target.Exchange, bool, error)
+type client interface {
+	Load(ctx context.Context, s *service.Service, t service.Target) (relay.Signs, error)
 }
 
 // Prober probes the targets of all services; its exported fields are set before Run.
 type Prober struct {
 	*common.Common
 	Services services
-	Targets  targets
+	Probes   client
 
 	dueAt map[string]time.Time // by service, so that a service is looked at only as often as its share allows
 }
@@ -122,12 +115,12 @@
 
 func (p *Prober) probe(ctx context.Context, s *dispatch.Service, name string, address netip.AddrPort) {
 	p.Counter("probes.sent").Inc(1)
-	inFlight, draining, err := p.ask(ctx, s, address)
+	signs, err := p.ask(ctx, s, name, address)
 	if err != nil {
 		p.Counter("probes.failed").Inc(1)
 		return
 	}
-	s.Do(func(b *balancer.Balancer, now time.Time) { b.Probed(now, name, inFlight, draining) })
+	s.Do(func(b *balancer.Balancer, now time.Time) { b.Probed(now, name, signs.Report, signs.Draining) })
 }
 
 // checkLeaving looks at a target that is leaving: a new incarnation may have come up there.
@@ -143,8 +136,8 @@
 		staying := false
 		reachable := reachable(ctx, address)
 		if reachable && probe {
-			_, draining, err := p.ask(ctx, s, address)
-			staying = err == nil && !draining
+			signs, err := p.ask(ctx, s, name, address)
+			staying = err == nil && !signs.Draining
 		}
 		s.Do(func(b *balancer.Balancer, now time.Time) { b.Checked(now, name, reachable, staying) })
 	}()
@@ -160,27 +153,8 @@
 	return true
 }
 
-func (p *Prober) ask(ctx context.Context, s *dispatch.Service, address netip.AddrPort) (inFlight int, draining bool, err error) {
-	record := s.Record()
+func (p *Prober) ask(ctx context.Context, s *dispatch.Service, name string, address netip.AddrPort) (relay.Signs, error) {
 	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	exchange, _, err := p.Targets.Begin(bounded, address, &http.Request{
-		Method: http.MethodGet,
-		URL:    &url.URL{Scheme: "http", Host: address.String(), Path: record.ProbePath},
-		Host:   address.String(),
-		Header: http.Header{"User-Agent": {"poplar-entry"}},
-	}, false)
-	if err != nil {
-		return 0, false, err
-	}
-	defer exchange.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(exchange.Answer.Body, answerBytes)); err != nil {
-		return 0, false, err
-	}
-	inFlight, ok := target.ParseLoad(exchange.Answer.Header.Get(record.LoadHeader))
-	if !ok {
-		return 0, false, errNoReport
-	}
-	draining = record.DrainHeader != "" && exchange.Answer.Header.Get(record.DrainHeader) != ""
-	return inFlight, draining, nil
+	return p.Probes.Load(bounded, s.Record(), service.Target{Name: name, Address: address})
 }
--- a/entry/target/pool.go
+++ b/entry/target/pool.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,10 +27,10 @@
 type Pool struct {
 	*common.Common
 	Share func(address netip.AddrPort) int // connections that this entry may hold
+	Owner owner                            // tells late answers to earlier requests; nil if targets do not name the request
 
-	transport http.Transport
-	mu        sync.Mutex
-	hosts     map[netip.AddrPort]*host
+	mu    sync.Mutex
+	hosts map[netip.AddrPort]*host
 }
 
 type host struct {
@@ -40,27 +38,6 @@
 	open int
 }
 
-// conn is one connection; bytes written through it are counted, to prove when a request was not sent.
-type conn struct {
-	client  *http.ClientConn
-	socket  *countingConn
-	idledAt time.Time
-}
-
-type countingConn struct {
-	net.Conn
-
-	written atomic.Int64
-}
-
-// Write counts the bytes before they are handed to the socket, so that the count is never too low.
-func (c *countingConn) Write(data []byte) (int, error) {
-	c.written.Add(int64(len(data)))
-	return c.Conn.Write(data)
-}
-
-type socketKey struct{}
-
 // Run closes connections that have been idle for long, until the context ends.
 func (p *Pool) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
@@ -82,7 +59,7 @@
 	for _, h := range p.hosts {
 		kept := h.idle[:0]
 		for _, c := range h.idle {
-			if c.client.Err() != nil || p.Now().Sub(c.idledAt) >= keep {
+			if idle := p.Now().Sub(c.idledAt); idle >= keep || c.expired(idle) {
 				stale = append(stale, c)
 				h.open--
 				continue
@@ -94,10 +71,15 @@
 	}
 	p.mu.Unlock()
 	for _, c := range stale {
-		_ = c.client.Close()
+		_ = c.socket.Close()
 	}
 }
 
+// expired reports whether the target is about to close the connection.
+func (c *conn) expired(idle time.Duration) bool {
+	return c.keepFor > 0 && idle >= c.keepFor
+}
+
 // acquire returns an idle connection or a new one.
 func (p *Pool) acquire(ctx context.Context, address netip.AddrPort, once bool) (*conn, error) {
 	c, err := p.takeIdle(address, once)
@@ -125,16 +107,16 @@
 	}
 	for i := len(h.idle) - 1; i >= 0; i-- {
 		c := h.idle[i]
-		if c.client.Err() != nil {
-			h.idle = append(h.idle[:i], h.idle[i+1:]...)
-			h.open--
-			continue
-		}
-		if c.client.Available() == 0 || once && p.Now().Sub(c.idledAt) > freshIdle {
+		idle := p.Now().Sub(c.idledAt)
+		if once && idle > freshIdle && !c.expired(idle) {
 			continue
 		}
 		h.idle = append(h.idle[:i], h.idle[i+1:]...)
-		return c, nil
+		if !c.expired(idle) && c.alive() {
+			return c, nil
+		}
+		h.open--
+		_ = c.socket.Close()
 	}
 	share := p.Share(address)
 	if h.open >= share && !p.evict(h) {
@@ -153,33 +135,18 @@
 	oldest := h.idle[0]
 	h.idle = h.idle[1:]
 	h.open--
-	_ = oldest.client.Close()
+	_ = oldest.socket.Close()
 	return true
 }
 
 func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
 	p.Counter("target.dials").Inc(1)
-	var socket *countingConn
-	bounded, cancel := context.WithTimeout(context.WithValue(ctx, socketKey{}, &socket), dialTimeout)
-	defer cancel()
-	client, err := p.transport.NewClientConn(bounded, "http", address.String())
-	if err != nil {
-		return nil, err
-	}
-	return &conn{client: client, socket: socket}, nil
-}
-
-func dialSocket(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.DialContext(ctx, network, address)
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	socket, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, err
 	}
-	counting := &countingConn{Conn: socket}
-	if place, ok := ctx.Value(socketKey{}).(**countingConn); ok {
-		*place = counting
-	}
-	return counting, nil
+	return newConn(socket), nil
 }
 
 func (p *Pool) forget(address netip.AddrPort) {
@@ -190,8 +157,8 @@
 
 // release keeps the connection for the next exchange if its own has ended whole, and else closes it.
 func (p *Pool) release(address netip.AddrPort, c *conn, whole bool) {
-	if !whole || c.client.Err() != nil {
-		_ = c.client.Close()
+	if !whole || c.reader.Buffered() > 0 {
+		_ = c.socket.Close()
 		p.forget(address)
 		return
 	}
@@ -211,10 +178,3 @@
 	}
 	return held
 }
-
-// Start prepares the pool; call it before the first exchange.
-func (p *Pool) Start() {
-	p.transport.DialContext = dialSocket
-	p.transport.DisableCompression = true
-	p.transport.MaxResponseHeaderBytes = maxHeaderBytes
-}
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -1,6 +1,7 @@
 package fault
 
 import (
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -43,6 +44,8 @@
 			panic(http.ErrAbortHandler)
 		}
 		if state.Hang {
+			// The server notices that the client has left only once the body has been read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
