--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -196,3 +196,14 @@
 	}
 	return rec.Service
 }
+
+// Of returns a catalog of the records, of which each key has one.
+func Of(records []record.Record) *Catalog {
+	c := &Catalog{records: make(map[record.Key]record.Record, len(records))}
+	for _, rec := range records {
+		c.records[rec.Key] = rec
+		c.revision = max(c.revision, rec.Revision)
+	}
+	c.orderRules()
+	return c
+}
--- a/entry/crashes/keeper.go
+++ b/entry/crashes/keeper.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	threshold = 2
+	threshold = 2 // crashes, unless the composition says otherwise
 	period    = time.Minute
 	capacity  = 10_000
 )
@@ -17,7 +17,8 @@
 // Keeper holds the quarantine; its exported fields are set before use.
 type Keeper struct {
 	*common.Common
-	Tell func(fingerprint quarantine.Fingerprint, target string) // tells the peers of a crash
+	Threshold int                                                     // crashes that put a request into quarantine; zero stands for two
+	Tell      func(fingerprint quarantine.Fingerprint, target string) // tells the peers of a crash
 
 	mu   sync.Mutex
 	list quarantine.List
@@ -25,7 +26,10 @@
 
 // Start prepares the keeper; call it before anything else.
 func (k *Keeper) Start() {
-	k.list = quarantine.List{Threshold: threshold, Period: period, Capacity: capacity}
+	if k.Threshold == 0 {
+		k.Threshold = threshold
+	}
+	k.list = quarantine.List{Threshold: k.Threshold, Period: period, Capacity: capacity}
 }
 
 // Crash counts a crash that this entry has seen, and tells the peers.
--- a/entry/dispatch/directory.go
+++ b/entry/dispatch/directory.go
@@ -13,8 +13,10 @@
 	"poplarworks/core/balancer"
 	"poplarworks/core/catalog"
 	"poplarworks/core/decision"
+	"poplarworks/core/rule"
 	"poplarworks/core/service"
 	"poplarworks/core/snapshot"
+	"poplarworks/core/split"
 	"poplarworks/core/stop"
 	"poplarworks/entry/common"
 )
@@ -33,6 +35,9 @@
 	cancels  map[string]context.CancelFunc
 	shares   map[netip.AddrPort]int
 	stops    []stop.Stop
+
+	splitMu  sync.Mutex
+	splitter split.Splitter
 }
 
 // Start prepares the directory; call it before anything else.
@@ -63,6 +68,14 @@
 	return s, ok
 }
 
+// Choose returns the service that serves the next request of the rule.
+func (d *Directory) Choose(r *rule.Rule) (*Service, bool) {
+	d.splitMu.Lock()
+	name := d.splitter.Service(r)
+	d.splitMu.Unlock()
+	return d.Get(name)
+}
+
 // All returns the services in order of their names.
 func (d *Directory) All() map[string]*Service {
 	d.mu.RLock()
@@ -116,7 +129,7 @@
 		Common:   d.Common,
 		stall:    &d.stall,
 		changed:  d.changed,
-		balancer: &balancer.Balancer{Self: d.Settings.Name, Picker: d.NewPicker(random), Random: random, Check: d.Check},
+		balancer: &balancer.Balancer{Self: d.Settings.Name, Home: d.Settings.DataCentre, Picker: d.NewPicker(random), Random: random, Check: d.Check},
 		waiters:  map[uint64]chan decision.Decision{},
 		wake:     make(chan struct{}, 1),
 	}
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -29,7 +29,7 @@
 }
 
 type services interface {
-	Get(name string) (*dispatch.Service, bool)
+	Choose(r *rule.Rule) (*dispatch.Service, bool)
 }
 
 type targets interface {
--- a/entry/exchange/prepare.go
+++ b/entry/exchange/prepare.go
@@ -40,10 +40,11 @@
 		return refused(code.NoRule)
 	}
 	c.rule = found
-	c.service, ok = c.Services.Get(found.Service)
+	c.service, ok = c.Services.Choose(&c.rule)
 	if !ok {
 		return refused(code.NoTarget)
 	}
+	c.rule.Service = c.service.Record().Name
 	c.setDeadline()
 	if refused := c.readKey(); refused != nil {
 		return refused
@@ -160,6 +161,7 @@
 		write(c.identity())
 		write(c.key)
 	} else {
+		write(c.caller())
 		write(c.r.Method)
 		write(c.r.URL.RequestURI())
 		_, _ = hash.Write(c.body.prefix)
--- a/entry/settings/parse.go
+++ b/entry/settings/parse.go
@@ -34,7 +34,7 @@
 		Choices:          obj.Int("choices", 3, 1, 64),
 		OracleURL:        readURL(obj, "oracle-url"),
 	}
-	readCallers(&s, obj)
+	ReadCallers(&s, obj)
 	readOperators(&s, obj)
 	readPeers(&s, obj)
 	readPlatform(&s, obj)
@@ -49,9 +49,10 @@
 	return s
 }
 
-func readCallers(s *Settings, obj *jsonc.Object) {
+// ReadCallers reads the part on callers.
+func ReadCallers(s *Settings, obj *jsonc.Object) {
 	callers := obj.Object("callers")
-	s.CallerAddress = readAddress(callers, "address")
+	s.CallerAddress = ReadAddress(callers, "address")
 	s.CallerTLS = readTLS(callers)
 	s.CallerHeader = callers.String("identity-header", "")
 	s.TrustedBalancers = readPrefixes(callers, "trusted-balancers")
@@ -67,7 +68,7 @@
 
 func readOperators(s *Settings, obj *jsonc.Object) {
 	operators := obj.Object("operators")
-	s.OperatorAddress = readAddress(operators, "address")
+	s.OperatorAddress = ReadAddress(operators, "address")
 	s.OperatorTLS = readTLS(operators)
 	s.TokenFile = operators.String("token-file", "")
 	if s.OperatorAddress.IsValid() && !s.OperatorAddress.Addr().IsLoopback() && s.TokenFile == "" && !s.OperatorTLS.Mutual() {
@@ -78,7 +79,7 @@
 
 func readPeers(s *Settings, obj *jsonc.Object) {
 	peers := obj.Object("peers")
-	s.PeerAddress = readAddress(peers, "address")
+	s.PeerAddress = ReadAddress(peers, "address")
 	s.PeerTLS = readTLS(peers)
 	if s.PeerAddress.IsValid() && !s.PeerAddress.Addr().IsLoopback() && !s.PeerTLS.Mutual() {
 		peers.Problem("tls", "expected client-ca-file, since the address is not loopback")
@@ -96,7 +97,8 @@
 	platform.Close()
 }
 
-func readAddress(obj *jsonc.Object, name string) netip.AddrPort {
+// ReadAddress reads an address that must be there.
+func ReadAddress(obj *jsonc.Object, name string) netip.AddrPort {
 	address := obj.AddrPort(name)
 	if !obj.Has(name) {
 		obj.Problem(name, `expected an IP address with a port such as "127.0.0.1:8080"`)
