--- /dev/null
+++ b/core/news/doc.go
@@ -0,0 +1,2 @@
+// Package news describes what one entry tells another of the platform's store.
+package news
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -37,12 +37,29 @@
 	r.returnedAt = now
 }
 
-// Apply takes all changes up to the version.
-func (r *Registry) Apply(now time.Time, changes []Change, version uint64) {
+// Apply takes all changes up to the version, and returns those that say more than that a target lives.
+func (r *Registry) Apply(now time.Time, changes []Change, version uint64) []Change {
+	var material []Change
 	for _, c := range changes {
-		r.apply(now, c)
+		if r.apply(now, c) {
+			material = append(material, c)
+		}
 	}
 	r.version = max(r.version, version)
+	return material
+}
+
+// Listing returns all registrations that are held.
+func (r *Registry) Listing() []Change {
+	listing := make([]Change, 0, len(r.held))
+	for key, h := range r.held {
+		if h.entry != nil && !h.removed {
+			entry := *h.entry
+			entry.Leaving = h.leaving
+			listing = append(listing, Change{Key: key, Version: h.version, Entry: &entry})
+		}
+	}
+	return listing
 }
 
 // Replace takes a whole listing as of the version; what it lacks was removed, unless the listing is older than what is
@@ -64,7 +81,8 @@
 	}
 }
 
-func (r *Registry) apply(now time.Time, c Change) {
+// apply reports whether the change says more than that the target lives.
+func (r *Registry) apply(now time.Time, c Change) bool {
 	if r.held == nil {
 		r.held = map[string]*held{}
 	}
@@ -74,16 +92,17 @@
 		r.held[c.Key] = h
 	}
 	if ok && c.Version <= h.version {
-		return
+		return false
 	}
 	if c.Entry == nil {
 		r.remove(now, h, c.Version)
-		return
+		return true
 	}
 	h.version = c.Version
 	if h.entry != nil && h.entry.older(c.Entry) {
-		return
+		return false
 	}
+	material := h.entry == nil || h.removed || !h.entry.alike(c.Entry)
 	same := h.entry != nil && h.entry.Started.Equal(c.Entry.Started) && h.entry.Address == c.Entry.Address
 	h.leaving = c.Entry.Leaving || same && h.leaving
 	if !same || c.Entry.WarmupLeft == 0 {
@@ -93,6 +112,15 @@
 		}
 	}
 	h.entry, h.removed = c.Entry, false
+	return material
+}
+
+// alike reports whether both entries say the same, but for signs of life.
+func (e *Entry) alike(other *Entry) bool {
+	x, y := *e, *other
+	x.Sequence, y.Sequence = 0, 0
+	x.WarmupLeft, y.WarmupLeft = 0, 0
+	return x == y && (e.WarmupLeft > 0) == (other.WarmupLeft > 0)
 }
 
 // older reports whether the other entry was written before this one, by an earlier incarnation or with a lower sequence.
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -11,6 +11,7 @@
 
 	"poplarworks/core/catalog"
 	"poplarworks/core/configuration"
+	"poplarworks/core/news"
 	"poplarworks/core/record"
 	"poplarworks/core/registry"
 	"poplarworks/core/service"
@@ -19,27 +20,36 @@
 
 const (
 	firstRetry   = 250 * time.Millisecond
-	longestRetry = time.Second
+	longestRetry = 2 * time.Second         // shorter than the time after an outage in which an entry may still be behind
 	returnGrace  = 2200 * time.Millisecond // registrations that lapsed in an outage are back two seconds after it
 	outageAfter  = 1500 * time.Millisecond // without an answer, the store counts as having been away
 	graceTick    = 250 * time.Millisecond
+	ledTick      = 100 * time.Millisecond // between looks whether the leader's word is still fresh
+	holdOffTick  = 20 * time.Millisecond
 )
 
 // Keeper holds the configuration and the targets; its exported fields are set before Run.
 type Keeper struct {
 	*common.Common
 	Source     Source
-	PollEvery  time.Duration            // between looks at the targets
-	WaitConfig time.Duration            // for which one call waits for a new configuration
+	PollEvery  time.Duration // between looks at the targets
+	WaitConfig time.Duration // for which one call waits for a new configuration
+	Patience   time.Duration // longest time that the word of a leader may be behind the store
+	HoldOff    time.Duration // at the start, in which a leader may make reading needless
+	Decode     func(t configuration.Text) (*configuration.Configuration, error)
 	Changed    func(c *catalog.Catalog) // called after each change, one call at a time
 	Fill       func(s *service.Service) // completes a service that the configuration names
-	current    atomic.Pointer[catalog.Catalog]
+	Publish    func(n news.News)        // tells followers, one call at a time
+
+	current atomic.Pointer[catalog.Catalog]
 
 	mu       sync.Mutex
 	config   *configuration.Configuration
+	text     configuration.Text
 	targets  registry.Registry
 	listed   bool
-	heardAt  time.Time
+	heardAt  time.Time // as of which the targets are known
+	toldAt   time.Time // the same, by a leader's word
 	revision uint64
 }
 
@@ -56,6 +66,16 @@
 	return k.current.Load() != nil
 }
 
+// Reading reports whether this entry reads the store itself.
+func (k *Keeper) Reading() bool {
+	return !k.led()
+}
+
+// Refresh completes the services anew, since the fleet has changed.
+func (k *Keeper) Refresh() {
+	k.update(func(time.Time) bool { return true })
+}
+
 // Revision returns the operator's number of the configuration in force.
 func (k *Keeper) Revision() uint64 {
 	k.mu.Lock()
@@ -71,22 +91,66 @@
 	k.mu.Lock()
 	k.targets.ReturnGrace = returnGrace
 	k.mu.Unlock()
-	go k.followConfiguration(ctx)
 	go k.endGrace(ctx)
+	sleepUnless(ctx, k.HoldOff, k.led)
+	go k.followConfiguration(ctx)
 	k.followTargets(ctx)
 }
 
+// led reports whether a leader's word is fresh, so that the store need not be read.
+func (k *Keeper) led() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.toldAt.IsZero() && k.Now().Sub(k.toldAt) < k.Patience
+}
+
+// Whole returns all that is known, for a new follower.
+func (k *Keeper) Whole() (news.News, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.config == nil || !k.listed {
+		return news.News{}, false
+	}
+	return news.News{
+		Whole:         true,
+		Version:       k.targets.Version(),
+		Age:           k.Now().Sub(k.heardAt),
+		Registrations: k.targets.Listing(),
+		Configuration: k.text.Value,
+		Revision:      k.text.Revision,
+	}, true
+}
+
+// Receive takes the word of a leader.
+func (k *Keeper) Receive(n news.News) {
+	if n.Configuration != nil {
+		k.Configure(configuration.Text{Revision: n.Revision, Value: n.Configuration})
+	}
+	asOf := k.Now().Add(-n.Age)
+	k.take(asOf, n.Registrations, n.Version, n.Whole)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if asOf.After(k.toldAt) {
+		k.toldAt = asOf
+	}
+}
+
 func (k *Keeper) followConfiguration(ctx context.Context) {
 	after, known := uint64(0), false
 	retry := backoff{}
 	for ctx.Err() == nil {
-		var c *configuration.Configuration
+		if k.led() {
+			known = false
+			sleep(ctx, ledTick)
+			continue
+		}
+		var t *configuration.Text
 		var version uint64
 		var err error
 		if known {
-			c, version, err = k.Source.NextConfiguration(ctx, after, k.WaitConfig)
+			t, version, err = k.Source.NextConfiguration(ctx, after, k.WaitConfig)
 		} else {
-			c, version, err = k.Source.Configuration(ctx)
+			t, version, err = k.Source.Configuration(ctx)
 		}
 		if err != nil {
 			known = known && !errors.Is(err, ErrForgotten)
@@ -95,10 +159,9 @@
 			continue
 		}
 		retry.reset()
-		k.heard()
 		known, after = true, max(after, version)
-		if c != nil {
-			k.Configure(c)
+		if t != nil {
+			k.Configure(*t)
 		}
 	}
 }
@@ -106,6 +169,10 @@
 func (k *Keeper) followTargets(ctx context.Context) {
 	retry := backoff{}
 	for ctx.Err() == nil {
+		if k.led() {
+			sleep(ctx, ledTick)
+			continue
+		}
 		if err := k.lookAtTargets(ctx); err != nil {
 			k.failed("targets", err)
 			retry.pause(ctx)
@@ -120,11 +187,11 @@
 	k.mu.Lock()
 	listed, after := k.listed, k.targets.Version()
 	k.mu.Unlock()
+	asked := k.Now()
 	if listed {
 		changes, version, err := k.Source.Changes(ctx, after)
 		if err == nil {
-			k.heard()
-			k.update(func(now time.Time) { k.targets.Apply(now, changes, version) })
+			k.take(asked, changes, version, false)
 			return nil
 		}
 		if !errors.Is(err, ErrForgotten) {
@@ -136,24 +203,35 @@
 	if err != nil {
 		return err
 	}
-	k.heard()
-	k.update(func(now time.Time) {
-		k.targets.Replace(now, listing, version)
-		k.listed = true
-	})
+	k.take(asked, listing, version, true)
 	return nil
 }
 
-// heard notes an answer of the store; after a long silence, registrations that lapsed meanwhile get time to come back.
-func (k *Keeper) heard() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.Now()
-	if !k.heardAt.IsZero() && now.Sub(k.heardAt) > k.PollEvery+outageAfter {
+// take puts registrations in force that the store, or a leader, gave as of the time, and tells the followers.
+func (k *Keeper) take(asOf time.Time, changes []registry.Change, version uint64, whole bool) {
+	k.update(func(now time.Time) bool {
+		k.noteReturn(now, asOf)
+		if whole {
+			k.targets.Replace(now, changes, version)
+			k.listed = true
+		} else {
+			changes = k.targets.Apply(now, changes, version)
+		}
+		k.Publish(news.News{Whole: whole, Version: version, Age: now.Sub(asOf), Registrations: changes})
+		return whole || len(changes) > 0
+	})
+}
+
+// noteReturn gives registrations that lapsed while the store was silent time to come back; it is called with the lock
+// held.
+func (k *Keeper) noteReturn(now, asOf time.Time) {
+	if !k.heardAt.IsZero() && asOf.Sub(k.heardAt) > k.PollEvery+outageAfter {
 		k.targets.Returned(now)
-		k.Log("discovery").WithField("silent", now.Sub(k.heardAt)).Info("The store answers again.")
+		k.Log("discovery").WithField("silent", asOf.Sub(k.heardAt)).Info("The store is heard again.")
+	}
+	if asOf.After(k.heardAt) {
+		k.heardAt = asOf
 	}
-	k.heardAt = now
 }
 
 func (k *Keeper) failed(what string, err error) {
@@ -162,14 +240,28 @@
 }
 
 // Configure puts a configuration in force if it is newer than the one held.
-func (k *Keeper) Configure(c *configuration.Configuration) {
-	k.update(func(time.Time) {
+func (k *Keeper) Configure(t configuration.Text) {
+	k.mu.Lock()
+	known := t.Revision <= k.text.Revision
+	k.mu.Unlock()
+	if known {
+		return
+	}
+	c, err := k.Decode(t)
+	if err != nil {
+		k.Counter("discovery.bad-configurations").Inc(1)
+		k.Log("discovery").WithError(err).WithField("revision", t.Revision).Error("A configuration cannot be used.")
+		return
+	}
+	k.update(func(time.Time) bool {
 		if k.config != nil && (c.Revision <= k.config.Revision || c.Number <= k.config.Number) {
-			return
+			return false
 		}
-		k.config = c
+		k.config, k.text = c, t
 		k.Log("discovery").WithField("number", c.Number).WithField("revision", c.Revision).
 			WithField("rules", len(c.Rules)).Info("A configuration is in force.")
+		k.Publish(news.News{Version: k.targets.Version(), Age: k.Now().Sub(k.heardAt), Configuration: t.Value, Revision: t.Revision})
+		return true
 	})
 }
 
@@ -181,18 +273,17 @@
 		expiring := k.targets.Expiring(k.Now().Add(-2 * graceTick))
 		k.mu.Unlock()
 		if expiring {
-			k.update(func(time.Time) {})
+			k.update(func(time.Time) bool { return true })
 		}
 	}
 }
 
 // update changes the state and puts it in force, one change at a time.
-func (k *Keeper) update(change func(now time.Time)) {
+func (k *Keeper) update(change func(now time.Time) bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.Now()
-	change(now)
-	if k.config == nil || !k.listed {
+	if !change(now) || k.config == nil || !k.listed {
 		return
 	}
 	k.revision++
@@ -230,6 +321,13 @@
 	sleep(ctx, time.Duration(float64(b.wait)*(0.75+rand.Float64()/2)))
 }
 
+// sleepUnless sleeps until the time is up or the condition holds.
+func sleepUnless(ctx context.Context, wait time.Duration, condition func() bool) {
+	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil && !condition(); {
+		sleep(ctx, holdOffTick)
+	}
+}
+
 func sleep(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/entry/discovery/source.go
+++ b/entry/discovery/source.go
@@ -18,6 +18,6 @@
 type Source interface {
 	Targets(ctx context.Context) (listing []registry.Change, version uint64, err error)
 	Changes(ctx context.Context, after uint64) (changes []registry.Change, version uint64, err error)
-	Configuration(ctx context.Context) (c *configuration.Configuration, version uint64, err error)
-	NextConfiguration(ctx context.Context, after uint64, wait time.Duration) (c *configuration.Configuration, version uint64, err error)
+	Configuration(ctx context.Context) (c *configuration.Text, version uint64, err error)
+	NextConfiguration(ctx context.Context, after uint64, wait time.Duration) (c *configuration.Text, version uint64, err error)
 }
