--- a/core/balancer/ask.go
+++ b/core/balancer/ask.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -19,8 +18,6 @@
 	crowdedFactor = 1.3                    // cost of taking a slot above that share
 	farPenalty    = 3.0                    // cost of a large answer's way between data centres, in times of an idle target's answer
 	errorCost     = 8.0                    // cost of a target whose every attempt fails, in addition, as a multiple
-	askBurst      = 4 * time.Second        // of probes that may be saved up for the crest of a wave
-	askPlenty     = 0.5                    // share of that at which no probes are saved yet
 	busyCost      = 0.1                    // breaks ties between targets with free slots
 )
 
@@ -59,13 +56,9 @@
 	return cost * (1 + errorCost*t.score.ErrorShare())
 }
 
-// Candidates draws the targets that are to be asked for their load before the request is submitted. A target that has
+// Candidates draws up to that many targets that are to be asked for their load before the request is submitted. A target that has
 // just reported that it is slow is left out while others can be drawn.
-func (b *Balancer) Candidates(now time.Time, r request.Request) []service.Target {
-	most := b.mayAsk(now, min(b.service.Asked, len(b.targets)))
-	if most <= 0 {
-		return nil
-	}
+func (b *Balancer) Candidates(now time.Time, r request.Request, most int) []service.Target {
 	near, far := b.draw(now, r)
 	order := append(near, far...)
 	slices.SortStableFunc(order, func(x, y *target) int { return int(x.unlikely(now)) - int(y.unlikely(now)) })
@@ -76,22 +69,6 @@
 	return drawn
 }
 
-// mayAsk takes probes out of the budget: that many while enough are saved up, and fewer the less is left.
-func (b *Balancer) mayAsk(now time.Time, most int) int {
-	if b.service.AskedPerSecond <= 0 || most <= 0 {
-		return most
-	}
-	b.asks.PerSecond, b.asks.Burst = b.service.AskedPerSecond, askBurst.Seconds()*b.service.AskedPerSecond
-	plenty := min(1, b.asks.Tokens(now)/(askPlenty*b.asks.Burst))
-	most = 1 + int(math.Round(plenty*float64(most-1)))
-	for taken := range most {
-		if _, ok := b.asks.Take(now); !ok {
-			return taken
-		}
-	}
-	return most
-}
-
 // draw returns the open targets in random order; for a large answer those of this data centre come first.
 func (b *Balancer) draw(now time.Time, r request.Request) (near, far []*target) {
 	panicking := b.census.panicking()
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"poplarworks/core/bucket"
 	"poplarworks/core/budget"
 	"poplarworks/core/fairqueue"
 	"poplarworks/core/invariant"
@@ -55,7 +54,6 @@
 	active   []string // entries that send to the service, this one included, in order
 	scratch  view     // reused, so that a pick allocates nothing
 	extra    budget.Share
-	asks     bucket.Bucket
 	started  time.Time
 	nextID   uint64
 	busyAt   time.Time // when the last request came
--- a/core/bucket/bucket.go
+++ b/core/bucket/bucket.go
@@ -21,12 +21,6 @@
 	return time.Duration((1 - b.tokens) / b.PerSecond * float64(time.Second)), false
 }
 
-// Tokens returns the tokens that are held.
-func (b *Bucket) Tokens(now time.Time) float64 {
-	b.fill(now)
-	return b.tokens
-}
-
 func (b *Bucket) fill(now time.Time) {
 	if b.at.IsZero() {
 		b.at, b.tokens = now, 1
--- a/entry/asker/asker.go
+++ b/entry/asker/asker.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"poplarworks/core/askbudget"
 	"poplarworks/core/balancer"
 	"poplarworks/core/request"
 	"poplarworks/core/service"
@@ -26,15 +28,32 @@
 type Asker struct {
 	*common.Common
 	Probes prober
+
+	mu     sync.Mutex
+	budget askbudget.Budget
+}
+
+// Limit sets how many targets this entry may ask in a second; zero is no bound.
+func (a *Asker) Limit(perSecond float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.budget.Limit(a.Now(), perSecond)
+}
+
+func (a *Asker) take(most int) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.budget.Take(a.Now(), most)
 }
 
 // Ask returns when the targets drawn for the request have reported their load, or after a short wait.
 func (a *Asker) Ask(ctx context.Context, s *dispatch.Service, r request.Request) {
-	var drawn []service.Target
-	s.Do(func(b *balancer.Balancer, now time.Time) { drawn = b.Candidates(now, r) })
-	if len(drawn) == 0 {
+	most := a.take(s.Record().Asked)
+	if most == 0 {
 		return
 	}
+	var drawn []service.Target
+	s.Do(func(b *balancer.Balancer, now time.Time) { drawn = b.Candidates(now, r, most) })
 	reported := make(chan bool, len(drawn))
 	for _, t := range drawn {
 		go func() { reported <- a.ask(ctx, s, t) }()
