Take work to lapsed registrations only on the target's fresh word; start and return quickly

Such a target now takes work only just after it reported that it is well. A success of one call ends the pause of the other.

--- a/core/balancer/ask.go
+++ b/core/balancer/ask.go
@@ -12,6 +12,7 @@
 
 const (
 	reportUseful  = 100 * time.Millisecond // after which a report of slowness says little: it shifts about as often
+	confirmedFor  = 30 * time.Millisecond  // for which a report shows that a doubtful target still takes work
 	avoidSlow     = 2.0                    // reported slowdown above which a target is not asked again while the report is useful
 	coldFactor    = 2.0                    // how much slower a target works while it is cold
 	crowdedShare  = 0.8                    // share of taken slots above which targets slow down
@@ -74,7 +75,7 @@
 	panicking := b.census.panicking()
 	for _, i := range b.Random.Perm(len(b.targets)) {
 		t := b.targets[i]
-		if !t.open(now, panicking) || slices.Contains(r.Tried, t.record.Name) {
+		if !t.open(now, panicking) && !t.doubtful() || slices.Contains(r.Tried, t.record.Name) {
 			continue
 		}
 		if r.Rule.Large && t.record.DataCentre != b.Home {
@@ -86,6 +87,11 @@
 	return near, far
 }
 
+// doubtful reports whether the target may be asked, since that alone can show that it still takes work.
+func (t *target) doubtful() bool {
+	return t.record.Doubtful && !t.removed && !t.stopped && t.machine.State() != lifecycle.Leaving
+}
+
 // unlikely ranks targets that will probably not be chosen behind the others.
 func (t *target) unlikely(now time.Time) int8 {
 	if now.Sub(t.reportAt) < reportUseful && t.slowdown() > avoidSlow {
--- a/core/balancer/target.go
+++ b/core/balancer/target.go
@@ -98,7 +98,7 @@
 // open reports whether the target takes new work at all; while most targets are ejected, ejection is not heeded, so
 // that a fault common to all cannot take every target away.
 func (t *target) open(now time.Time, panicking bool) bool {
-	if t.removed || t.stopped || now.Before(t.backoffTill) {
+	if t.removed || t.stopped || now.Before(t.backoffTill) || t.record.Doubtful && now.Sub(t.reportAt) > confirmedFor {
 		return false
 	}
 	switch t.machine.State() {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -158,6 +158,7 @@
 			Started:    h.entry.Started,
 			ColdUntil:  h.coldUntil,
 			Leaving:    h.leaving,
+			Doubtful:   h.removed,
 		})
 	}
 	return services
--- a/core/service/service.go
+++ b/core/service/service.go
@@ -34,6 +34,7 @@
 	Started    time.Time // tells two incarnations with one name apart; zero if unknown
 	ColdUntil  time.Time // end of the time in which the target is slow after its start
 	Leaving    bool
+	Doubtful   bool // may be gone, so that it takes work only while it reports that it is well
 }
 
 // ProbesPerEntry returns how many probes one entry may send to one target in any second.
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -20,7 +20,7 @@
 
 const (
 	firstRetry   = 250 * time.Millisecond
-	longestRetry = 2 * time.Second         // shorter than the time after an outage in which an entry may still be behind
+	longestRetry = 1200 * time.Millisecond // shorter than the time after an outage in which an entry may still be behind
 	returnGrace  = 2200 * time.Millisecond // registrations that lapsed in an outage are back two seconds after it
 	outageAfter  = 1500 * time.Millisecond // without an answer, the store counts as having been away
 	graceTick    = 250 * time.Millisecond
@@ -42,6 +42,7 @@
 	Publish    func(n news.News)        // tells followers, one call at a time
 
 	current atomic.Pointer[catalog.Catalog]
+	answers atomic.Int64 // calls that the store has answered
 
 	mu       sync.Mutex
 	config   *configuration.Configuration
@@ -155,10 +156,10 @@
 		if err != nil {
 			known = known && !errors.Is(err, ErrForgotten)
 			k.failed("configuration", err)
-			retry.pause(ctx)
+			k.pause(ctx, &retry)
 			continue
 		}
-		retry.reset()
+		k.answered(&retry)
 		known, after = true, max(after, version)
 		if t != nil {
 			k.Configure(*t)
@@ -175,10 +176,10 @@
 		}
 		if err := k.lookAtTargets(ctx); err != nil {
 			k.failed("targets", err)
-			retry.pause(ctx)
+			k.pause(ctx, &retry)
 			continue
 		}
-		retry.reset()
+		k.answered(&retry)
 		sleep(ctx, k.PollEvery)
 	}
 }
@@ -314,11 +315,20 @@
 	wait time.Duration
 }
 
-func (b *backoff) reset() { b.wait = 0 }
-
-func (b *backoff) pause(ctx context.Context) {
+func (b *backoff) next() time.Duration {
 	b.wait = min(longestRetry, max(firstRetry, 2*b.wait))
-	sleep(ctx, time.Duration(float64(b.wait)*(0.75+rand.Float64()/2)))
+	return time.Duration(float64(b.wait) * (0.75 + rand.Float64()/2))
+}
+
+// pause waits for the next attempt, or until another call shows that the store answers again.
+func (k *Keeper) pause(ctx context.Context, b *backoff) {
+	failed := k.answers.Load()
+	sleepUnless(ctx, b.next(), func() bool { return k.answers.Load() != failed })
+}
+
+func (k *Keeper) answered(b *backoff) {
+	b.wait = 0
+	k.answers.Add(1)
 }
 
 // sleepUnless sleeps until the time is up or the condition holds.
