--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -44,7 +44,7 @@
 	targets  []*target
 	byName   map[string]int
 	rules    map[string]*ruleState
-	queues   [2]fairqueue.Queue // short, long
+	queues   [queues]fairqueue.Queue
 	waiting  map[uint64]request.Request
 	inFlight map[uint64]*attempt
 	peers    map[string]peerLoad
@@ -60,10 +60,20 @@
 	long     int       // own long requests in flight
 }
 
+// The queues, in the order in which they are served.
+const (
+	shortQueue = iota
+	longQueue
+	lateQueue // requests that can no longer be answered within the objective of their rule
+	queues
+)
+
 // ruleState is what is learnt about one rule.
 type ruleState struct {
 	typical quantile.Tracker
 	slow    quantile.Tracker
+	work    quantile.Tracker // time of an answer, less what load and slowness of the target add
+	longest time.Duration    // that any caller has allowed
 	retries budget.Share
 	hedges  budget.Share
 }
@@ -75,6 +85,7 @@
 	begun    time.Time
 	expected time.Duration
 	long     bool
+	cost     float64 // expected, as a multiple of the time at an idle target
 	load     float64 // estimated requests at the target when this one was sent
 }
 
@@ -138,6 +149,7 @@
 	if !ok {
 		state = &ruleState{
 			typical: quantile.Tracker{Quantile: 0.5},
+			work:    quantile.Tracker{Quantile: 0.5},
 			slow:    quantile.Tracker{Quantile: 1 - max(hedgeRatio, minTail)},
 			retries: budget.Share{Cap: budgetCap, Initial: retryInitial},
 			hedges:  budget.Share{Cap: budgetCap, Initial: hedgeInitial},
--- a/core/balancer/finish.go
+++ b/core/balancer/finish.go
@@ -68,6 +68,7 @@
 	state := b.rules[a.request.Rule.Name]
 	state.typical.Add(o.Latency)
 	state.slow.Add(o.Latency)
+	state.work.Add(time.Duration(float64(o.Latency) / max(1, a.cost)))
 	if !a.long {
 		// The queue that the request met at the target is known already and must not count twice.
 		queued := max(0, a.load+1-t.slots)
@@ -142,7 +143,7 @@
 		own += t.load.Own()
 	}
 	b.Check.Hold(own == len(b.inFlight), "counted %d requests in flight, hold %d", own, len(b.inFlight))
-	queued := b.queues[0].Len() + b.queues[1].Len()
+	queued := b.queues[shortQueue].Len() + b.queues[longQueue].Len() + b.queues[lateQueue].Len()
 	b.Check.Hold(queued == len(b.waiting), "queues hold %d requests, %d wait", queued, len(b.waiting))
 	for name, r := range b.rules {
 		b.Check.Hold(r.retries.Within(), "rule %s exceeds its retry budget", name)
--- /dev/null
+++ b/core/balancer/room.go
@@ -0,0 +1,87 @@
+package balancer
+
+import (
+	"time"
+
+	"poplarworks/core/code"
+	"poplarworks/core/decision"
+	"poplarworks/core/fairqueue"
+	"poplarworks/core/request"
+)
+
+const (
+	aheadShare  = 1.0 / 3 // of a target's slots, for requests that wait there so that a slot that comes free finds work
+	giveUpShare = 0.5     // of its time, after which a request that still waits is refused while its caller can try again
+)
+
+// room reports whether the target has a free slot, or a short queue, by its last report and what was sent since.
+func (t *target) room(now time.Time) bool {
+	if t.report.Slots == 0 || now.Sub(t.reportAt) >= reportUseful {
+		return float64(t.load.Own()) < t.slots
+	}
+	held := float64(t.report.InFlight() + t.sentSince)
+	return held < t.slots*(1+aheadShare)
+}
+
+// aim returns until when an answer to the request has its full worth. Callers count from their first attempt, of which the
+// longest time that any of them has allowed tells.
+func (s *ruleState) aim(r request.Request) time.Time {
+	return r.Arrived.Add(r.Rule.Objective - max(0, s.longest-r.Left))
+}
+
+// late reports whether the request can no longer have an answer of full worth.
+func (s *ruleState) late(now time.Time, r request.Request) bool {
+	return r.Rule.Objective > 0 && now.Add(s.idleTime()).After(s.aim(r))
+}
+
+// idleTime is the time that an answer usually takes at an idle target.
+func (s *ruleState) idleTime() time.Duration {
+	if s.work.Count() == 0 {
+		return defaultLatency
+	}
+	return s.work.Value()
+}
+
+// timely reports whether the target will probably answer in time for full worth. A request that cannot have that any more
+// may go to slow targets too.
+func (v *view) timely(t *target) bool {
+	if !t.asked || v.state == nil || v.request.Rule.Objective == 0 || v.state.late(v.now, v.request) {
+		return true
+	}
+	expected := time.Duration(t.cost(v.now) * float64(v.state.idleTime()))
+	return !v.now.Add(expected).After(v.state.aim(v.request))
+}
+
+// queueFor returns the queue for a request: those that will be late wait behind those that can still be in time.
+func (b *Balancer) queueFor(now time.Time, r request.Request, long bool, state *ruleState) *fairqueue.Queue {
+	switch {
+	case b.service.Asked > 0 && state.late(now, r):
+		return &b.queues[lateQueue]
+	case long:
+		return &b.queues[longQueue]
+	default:
+		return &b.queues[shortQueue]
+	}
+}
+
+// demote moves requests that can no longer be in time behind the others, and refuses those that have waited so long that
+// their callers do better to try again.
+func (b *Balancer) demote(now time.Time, decisions []decision.Decision) []decision.Decision {
+	if b.service.Asked == 0 || len(b.waiting) == 0 {
+		return decisions
+	}
+	for _, item := range b.queues[shortQueue].Extract(func(i fairqueue.Item) bool {
+		r := b.waiting[i.ID]
+		return b.rules[r.Rule.Name].late(now, r)
+	}) {
+		b.queues[lateQueue].Push(item)
+	}
+	for _, item := range b.queues[lateQueue].Extract(func(i fairqueue.Item) bool {
+		return float64(now.Sub(i.Arrived)) > giveUpShare*float64(i.Deadline.Sub(i.Arrived))
+	}) {
+		r := b.waiting[item.ID]
+		delete(b.waiting, item.ID)
+		decisions = append(decisions, b.refuse(now, r, code.Overloaded))
+	}
+	return decisions
+}
--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -35,8 +35,9 @@
 		return b.refuse(now, r, code.DeadlineTooShort)
 	}
 	long := b.isLong(r.Rule, state)
-	queue := &b.queues[queueIndex(long)]
-	if queue.Len() == 0 || queue.Ahead(int(r.Rule.Priority)) == 0 {
+	state.longest = max(state.longest, r.Left)
+	queue := b.queueFor(now, r, long, state)
+	if queue.Ahead(int(r.Rule.Priority)) == 0 && (queue != &b.queues[lateQueue] || b.queues[shortQueue].Len() == 0) {
 		if d, ok := b.send(now, r, long, state); ok {
 			return d
 		}
@@ -59,13 +60,6 @@
 	return decision.Decision{ID: r.ID, Kind: decision.Wait}
 }
 
-func queueIndex(long bool) int {
-	if long {
-		return 1
-	}
-	return 0
-}
-
 // isLong follows the rule, and what was learnt of its requests.
 func (b *Balancer) isLong(r *rule.Rule, state *ruleState) bool {
 	if r.Class == rule.Long {
@@ -100,7 +94,7 @@
 func (b *Balancer) retryAfter(now time.Time) time.Duration {
 	wait := minRetryAfter
 	if perSecond := b.finished.get(now); perSecond >= 1 {
-		queued := b.queues[0].Len() + b.queues[1].Len()
+		queued := len(b.waiting)
 		wait += time.Duration(float64(queued) / perSecond * float64(time.Second))
 	}
 	spread := 0.5 + b.Random.Float64()
@@ -118,7 +112,7 @@
 }
 
 func (b *Balancer) view(now time.Time, r request.Request, long bool) *view {
-	b.scratch = view{b: b, now: now, long: long, large: r.Rule.Large, panic: b.census.panicking(), tried: r.Tried}
+	b.scratch = view{b: b, now: now, request: r, long: long, large: r.Rule.Large, panic: b.census.panicking(), tried: r.Tried}
 	return &b.scratch
 }
 
@@ -127,13 +121,15 @@
 	if len(b.targets) == 0 {
 		return decision.Decision{}, false
 	}
-	i, ok := b.Picker.Pick(b.view(now, r, long))
+	v := b.view(now, r, long)
+	v.state = state
+	i, ok := b.Picker.Pick(v)
 	if !ok {
 		return decision.Decision{}, false
 	}
 	t := b.targets[i]
 	b.Check.Hold(!t.stopped && !t.removed, "picked target %s, which takes no new work", t.record.Name)
-	a := &attempt{request: r, target: t, begun: now, expected: state.expected(), long: long, load: t.load.At(now)}
+	a := &attempt{request: r, target: t, begun: now, expected: state.expected(), long: long, load: t.load.At(now), cost: v.Cost(i)}
 	b.inFlight[r.ID] = a
 	t.load.Sent()
 	b.delist(t)
@@ -151,10 +147,10 @@
 
 // Poll sends or refuses requests that wait; call it after Finish, and every millisecond while any wait.
 func (b *Balancer) Poll(now time.Time) []decision.Decision {
-	var decisions []decision.Decision
+	decisions := b.demote(now, nil)
 	for i := range b.queues {
 		decisions = b.expire(now, &b.queues[i], decisions)
-		decisions = b.drain(now, &b.queues[i], i == 1, decisions)
+		decisions = b.drain(now, &b.queues[i], i == longQueue, decisions)
 	}
 	return decisions
 }
@@ -197,5 +193,5 @@
 		return false
 	}
 	delete(b.waiting, id)
-	return b.queues[0].Remove(id) || b.queues[1].Remove(id)
+	return b.queues[shortQueue].Remove(id) || b.queues[longQueue].Remove(id) || b.queues[lateQueue].Remove(id)
 }
--- a/core/balancer/target.go
+++ b/core/balancer/target.go
@@ -126,7 +126,7 @@
 func (t *target) fits(now time.Time, long bool) bool {
 	own := t.load.Own()
 	if t.asked {
-		return own < t.share
+		return own < t.share && t.room(now)
 	}
 	limit := math.Max(1, t.limit.Current()*t.rampFraction(now))
 	if float64(own)+1 > limit || own >= t.share {
--- a/core/balancer/view.go
+++ b/core/balancer/view.go
@@ -3,16 +3,20 @@
 import (
 	"slices"
 	"time"
+
+	"poplarworks/core/request"
 )
 
 // view shows the targets to the picker for one request.
 type view struct {
-	b     *Balancer
-	now   time.Time
-	long  bool
-	panic bool
-	large bool // the answer is too large to cross data centres for little
-	tried []string
+	b       *Balancer
+	now     time.Time
+	request request.Request
+	state   *ruleState // of the request's rule; nil if any open target will do
+	long    bool
+	panic   bool
+	large   bool // the answer is too large to cross data centres for little
+	tried   []string
 }
 
 // Len returns the number of targets.
@@ -26,7 +30,8 @@
 
 // Eligible reports whether the target is also below every limit.
 func (v *view) Eligible(i int) bool {
-	return v.Open(i) && v.b.targets[i].fits(v.now, v.long)
+	t := v.b.targets[i]
+	return v.Open(i) && t.fits(v.now, v.long) && v.timely(t)
 }
 
 // Free returns the number of targets where this entry has a slot of its own free.
--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -158,15 +158,16 @@
 // Expire removes the items that can no longer be answered in time.
 func (q *Queue) Expire(now time.Time) []Item {
 	q.observe(now)
-	return q.filter(func(i Item) bool { return i.late(now) })
+	return q.Extract(func(i Item) bool { return i.late(now) })
 }
 
 // Remove removes the item with the id, and reports whether it was there.
 func (q *Queue) Remove(id uint64) bool {
-	return len(q.filter(func(i Item) bool { return i.ID == id })) > 0
+	return len(q.Extract(func(i Item) bool { return i.ID == id })) > 0
 }
 
-func (q *Queue) filter(drop func(Item) bool) []Item {
+// Extract removes and returns the items that match.
+func (q *Queue) Extract(drop func(Item) bool) []Item {
 	var dropped []Item
 	for p := range q.levels {
 		l := &q.levels[p]
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -13,8 +13,9 @@
 	Caller   string
 	Arrived  time.Time
 	Deadline time.Time
-	Attempt  int      // attempts begun, and retries that layers before have made
-	Tried    []string // targets that have had an attempt
+	Left     time.Duration // that the caller allowed when the request arrived; zero if it did not say
+	Attempt  int           // attempts begun, and retries that layers before have made
+	Tried    []string      // targets that have had an attempt
 }
 
 // Flow names the queue that the request waits in.
--- a/entry/asker/asker.go
+++ b/entry/asker/asker.go
@@ -8,6 +8,7 @@
 	"poplarworks/core/askbudget"
 	"poplarworks/core/balancer"
 	"poplarworks/core/request"
+	"poplarworks/core/rule"
 	"poplarworks/core/service"
 	"poplarworks/entry/common"
 	"poplarworks/entry/dispatch"
@@ -17,6 +18,7 @@
 
 const (
 	longestWait  = 15 * time.Millisecond  // a choice among reports that have come beats waiting longer for the rest
+	askedAgain   = 2                      // targets asked at a time while requests wait
 	probeTimeout = 300 * time.Millisecond // a target that does not report its load within this time counts as failed
 )
 
@@ -79,6 +81,18 @@
 	}
 }
 
+// Again asks some targets while requests wait, and does not wait for their reports.
+func (a *Asker) Again(s *dispatch.Service) {
+	most := a.take(askedAgain)
+	var drawn []service.Target
+	s.Do(func(b *balancer.Balancer, now time.Time) {
+		drawn = b.Candidates(now, request.Request{Rule: &rule.Rule{}}, most)
+	})
+	for _, t := range drawn {
+		go a.ask(context.Background(), s, t)
+	}
+}
+
 // ask reports whether the target has reported its load.
 func (a *Asker) ask(ctx context.Context, s *dispatch.Service, t service.Target) bool {
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
@@ -94,7 +108,7 @@
 		}
 		return false
 	}
-	s.Do(func(b *balancer.Balancer, now time.Time) {
+	s.Reported(func(b *balancer.Balancer, now time.Time) {
 		b.Probed(now, t.Name, signs.Report, signs.Draining || signs.Elsewhere)
 	})
 	return true
--- a/entry/dispatch/directory.go
+++ b/entry/dispatch/directory.go
@@ -27,6 +27,7 @@
 type Directory struct {
 	*common.Common
 	NewPicker func(random *rand.Rand) balancer.Picker
+	Reask     func(s *Service) // asks some targets for their load while requests wait; may be nil
 
 	stall    stallGuard
 	changed  chan struct{}
@@ -129,6 +130,7 @@
 		Common:   d.Common,
 		stall:    &d.stall,
 		changed:  d.changed,
+		reask:    d.Reask,
 		balancer: &balancer.Balancer{Self: d.Settings.Name, Home: d.Settings.DataCentre, Picker: d.NewPicker(random), Random: random, Check: d.Check},
 		waiters:  map[uint64]chan decision.Decision{},
 		wake:     make(chan struct{}, 1),
--- a/entry/dispatch/service.go
+++ b/entry/dispatch/service.go
@@ -18,6 +18,8 @@
 const (
 	pollInterval = time.Millisecond
 	tickInterval = 250 * time.Millisecond
+	reaskEvery   = 8 * time.Millisecond // while requests wait
+	askedPoll    = 4 * time.Millisecond // between polls of a service whose targets are asked, besides those at each end and report
 )
 
 // Service serialises the decisions of one service; it is safe for concurrent use.
@@ -29,6 +31,8 @@
 	balancer *balancer.Balancer
 	waiters  map[uint64]chan decision.Decision
 	wake     chan struct{}
+	reask    func(s *Service) // asks some targets for their load while requests wait; nil if none are asked
+	askedAt  time.Time
 	record   atomic.Pointer[service.Service]
 	changed  chan struct{} // signalled when a long request starts or ends, at any service
 	long     int           // long requests in flight when last looked
@@ -157,6 +161,14 @@
 	return s.balancer.Hedge(s.Now(), r)
 }
 
+// Reported takes a target's report, which may have room for a request that waits.
+func (s *Service) Reported(call func(b *balancer.Balancer, now time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	call(s.balancer, s.Now())
+	s.poll()
+}
+
 // Do calls the function with the balancer locked.
 func (s *Service) Do(call func(b *balancer.Balancer, now time.Time)) {
 	s.mu.Lock()
@@ -182,13 +194,31 @@
 			s.Do(func(b *balancer.Balancer, now time.Time) { b.Tick(now) })
 		}
 		if s.step() {
-			timer.Reset(pollInterval)
+			timer.Reset(s.pollInterval())
+			s.askAgain()
 		} else if ended {
 			return
 		}
 	}
 }
 
+func (s *Service) pollInterval() time.Duration {
+	if s.Record().Asked > 0 {
+		return askedPoll
+	}
+	return pollInterval
+}
+
+// askAgain is called by the one goroutine that polls.
+func (s *Service) askAgain() {
+	now := s.Now()
+	if s.reask == nil || s.Record().Asked == 0 || now.Sub(s.askedAt) < reaskEvery {
+		return
+	}
+	s.askedAt = now
+	s.reask(s)
+}
+
 // step polls, and reports whether requests still wait.
 func (s *Service) step() bool {
 	s.mu.Lock()
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -64,6 +64,9 @@
 	Forgive(fingerprint quarantine.Fingerprint)
 }
 
+// drainingRetry spaces a refused caller's next attempt, which goes to another entry.
+const drainingRetry = 50 * time.Millisecond
+
 // Handler serves callers; its exported fields are set before use.
 type Handler struct {
 	*common.Common
@@ -116,7 +119,7 @@
 // admit refuses what cannot be served before the request is looked at.
 func (h *Handler) admit() *refusal.Refusal {
 	if h.Refusing() {
-		return &refusal.Refusal{Code: code.Draining, Run: code.NotRun, RetryAfter: time.Second}
+		return &refusal.Refusal{Code: code.Draining, Run: code.NotRun, RetryAfter: drainingRetry}
 	}
 	if !h.Ready() {
 		return &refusal.Refusal{Code: code.NotReady, Run: code.NotRun, RetryAfter: time.Second}
--- a/entry/exchange/prepare.go
+++ b/entry/exchange/prepare.go
@@ -102,7 +102,8 @@
 func (c *call) setDeadline() {
 	now := c.Now()
 	span := c.rule.Deadline
-	if left, ok := c.Dialect.Left(c.r.Header); ok {
+	left, ok := c.Dialect.Left(c.r.Header)
+	if ok {
 		span = min(span, left)
 	}
 	c.ctx, c.cancel = context.WithDeadline(c.r.Context(), now.Add(span))
@@ -111,6 +112,7 @@
 		Caller:   c.caller(),
 		Arrived:  now,
 		Deadline: now.Add(span),
+		Left:     left,
 		Attempt:  c.Dialect.Retries(c.r.Header),
 	}
 }
