--- a/core/balancer/ask.go
+++ b/core/balancer/ask.go
@@ -11,15 +11,13 @@
 )
 
 const (
-	reportUseful  = 100 * time.Millisecond // after which a report of slowness says little: it shifts about as often
-	confirmedFor  = 30 * time.Millisecond  // for which a report shows that a doubtful target still takes work
-	avoidSlow     = 2.0                    // reported slowdown above which a target is not asked again while the report is useful
-	coldFactor    = 2.0                    // how much slower a target works while it is cold
-	crowdedShare  = 0.8                    // share of taken slots above which targets slow down
-	crowdedFactor = 1.3                    // cost of taking a slot above that share
-	farPenalty    = 3.0                    // cost of a large answer's way between data centres, in times of an idle target's answer
-	errorCost     = 8.0                    // cost of a target whose every attempt fails, in addition, as a multiple
-	busyCost      = 0.1                    // breaks ties between targets with free slots
+	reportUseful = 100 * time.Millisecond // after which a report of slowness says little: it shifts about as often
+	confirmedFor = 30 * time.Millisecond  // for which a report shows that a doubtful target still takes work
+	avoidSlow    = 2.0                    // reported slowdown above which a target is not asked again while the report is useful
+	coldFactor   = 2.0                    // how much slower a target works while it is cold
+	farPenalty   = 3.0                    // cost of a large answer's way between data centres, in times of an idle target's answer
+	errorCost    = 8.0                    // cost of a target whose every attempt fails, in addition, as a multiple
+	busyCost     = 0.1                    // breaks ties between targets with free slots
 )
 
 // reported takes a load report.
@@ -47,7 +45,7 @@
 	held := float64(t.report.InFlight() + t.sentSince)
 	cost := 1 + max(0, held+1-slots)/slots
 	if held+1 > crowdedShare*slots {
-		cost *= crowdedFactor
+		cost *= t.crowding.factor()
 	}
 	cost *= t.slowdown()
 	if now.Before(t.record.ColdUntil) {
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -54,6 +54,7 @@
 	active   []string // entries that send to the service, this one included, in order
 	scratch  view     // reused, so that a pick allocates nothing
 	extra    budget.Share
+	crowding crowding
 	started  time.Time
 	nextID   uint64
 	busyAt   time.Time // when the last request came
@@ -85,6 +86,9 @@
 	begun    time.Time
 	expected time.Duration
 	long     bool
+	held     int     // requests that the target reported just before
+	fresh    bool    // such a report was there
+	slowdown float64 // by that report
 	cost     float64 // expected, as a multiple of the time at an idle target
 	load     float64 // estimated requests at the target when this one was sent
 }
@@ -134,6 +138,7 @@
 		}
 	}
 	t := newTarget(now, record, b.service, len(b.active))
+	t.crowding = &b.crowding
 	if first {
 		// At the start of an entry every target is new to it, and none of them is cold.
 		t.warm()
--- a/core/balancer/finish.go
+++ b/core/balancer/finish.go
@@ -68,7 +68,7 @@
 	state := b.rules[a.request.Rule.Name]
 	state.typical.Add(o.Latency)
 	state.slow.Add(o.Latency)
-	state.work.Add(time.Duration(float64(o.Latency) / max(1, a.cost)))
+	b.learn(a, state, o.Latency)
 	if !a.long {
 		// The queue that the request met at the target is known already and must not count twice.
 		queued := max(0, a.load+1-t.slots)
@@ -91,6 +91,20 @@
 	}
 }
 
+// learn follows the time that work takes at targets with room, and how much longer at crowded ones.
+func (b *Balancer) learn(a *attempt, state *ruleState, latency time.Duration) {
+	if !a.fresh || float64(a.held) >= a.target.slots {
+		return
+	}
+	if float64(a.held+1) <= crowdedShare*a.target.slots {
+		state.work.Add(time.Duration(float64(latency) / a.slowdown))
+		return
+	}
+	if state.work.Count() >= crowdedSamples {
+		b.crowding.add(float64(latency) / a.slowdown / float64(state.work.Value()))
+	}
+}
+
 func (b *Balancer) fail(now time.Time, t *target, penalty float64) {
 	t.score.Failure(now, penalty)
 	if t.machine.State() == lifecycle.Trial {
--- a/core/balancer/room.go
+++ b/core/balancer/room.go
@@ -20,6 +20,9 @@
 		return float64(t.load.Own()) < t.slots
 	}
 	held := float64(t.report.InFlight() + t.sentSince)
+	if useful := t.crowding.useful(t.slots); useful < t.slots {
+		return held < useful
+	}
 	return held < t.slots*(1+aheadShare)
 }
 
--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -130,6 +130,8 @@
 	t := b.targets[i]
 	b.Check.Hold(!t.stopped && !t.removed, "picked target %s, which takes no new work", t.record.Name)
 	a := &attempt{request: r, target: t, begun: now, expected: state.expected(), long: long, load: t.load.At(now), cost: v.Cost(i)}
+	a.fresh = t.report.Slots > 0 && now.Sub(t.reportAt) < confirmedFor
+	a.held, a.slowdown = t.report.InFlight()+t.sentSince, t.slowdown()
 	b.inFlight[r.ID] = a
 	t.load.Sent()
 	b.delist(t)
--- a/core/balancer/target.go
+++ b/core/balancer/target.go
@@ -42,7 +42,8 @@
 	home      int           // slots that this entry counts as its own
 	report    report.Report // newest load report with slots
 	reportAt  time.Time
-	sentSince int // requests sent since the report
+	sentSince int       // requests sent since the report
+	crowding  *crowding // of the service
 	machine   lifecycle.Machine
 	load      load.Estimate
 	score     slowness.Score
