--- a/core/balancer/ask.go
+++ b/core/balancer/ask.go
@@ -25,6 +25,9 @@
 	t.load.Report(now, r.InFlight())
 	if r.Slots > 0 {
 		t.report, t.reportAt, t.sentSince = r, now, 0
+		if t.crowding != nil {
+			t.crowding.reportedAt = now
+		}
 	}
 }
 
--- a/core/balancer/crowding.go
+++ b/core/balancer/crowding.go
@@ -14,9 +14,11 @@
 	ratioUnit      = time.Second // in which the tracker holds a ratio of one
 )
 
-// crowding learns how much longer work takes at a target that is nearly full.
+// crowding is what the targets of a service have in common: when any of them reported, and how much longer work takes at one that is
+// nearly full.
 type crowding struct {
-	tracker quantile.Tracker
+	reportedAt time.Time // of the newest report of any target
+	tracker    quantile.Tracker
 }
 
 func (c *crowding) add(ratio float64) {
--- a/core/balancer/room.go
+++ b/core/balancer/room.go
@@ -10,14 +10,16 @@
 )
 
 const (
-	aheadShare  = 1.0 / 3 // of a target's slots, for requests that wait there so that a slot that comes free finds work
-	giveUpShare = 0.5     // of its time, after which a request that still waits is refused while its caller can try again
+	aheadShare  = 1.0 / 3                // of a target's slots, for requests that wait there so that a slot that comes free finds work
+	blindAfter  = 250 * time.Millisecond // without a report of any target, choices are made without them
+	giveUpShare = 0.5                    // of its time, after which a request that still waits is refused while its caller can try again
 )
 
-// room reports whether the target has a free slot, or a short queue, by its last report and what was sent since.
+// room reports whether the target has a free slot, or a short queue, by its last report and what was sent since. Without a
+// useful report it has none, unless no target of the service reports anything.
 func (t *target) room(now time.Time) bool {
 	if t.report.Slots == 0 || now.Sub(t.reportAt) >= reportUseful {
-		return float64(t.load.Own()) < t.slots
+		return now.Sub(t.crowding.reportedAt) > blindAfter && float64(t.load.Own()) < t.slots
 	}
 	held := float64(t.report.InFlight() + t.sentSince)
 	if useful := t.crowding.useful(t.slots); useful < t.slots {
