--- a/entry/dispatch/service.go
+++ b/entry/dispatch/service.go
@@ -18,8 +18,8 @@
 const (
 	pollInterval = time.Millisecond
 	tickInterval = 250 * time.Millisecond
-	reaskEvery   = 8 * time.Millisecond // while requests wait
-	askedPoll    = 4 * time.Millisecond // between polls of a service whose targets are asked, besides those at each end and report
+	reaskEvery   = 20 * time.Millisecond // while requests wait
+	askedPoll    = 4 * time.Millisecond  // between polls of a service whose targets are asked, besides those at each end and report
 )
 
 // Service serialises the decisions of one service; it is safe for concurrent use.
