--- a/core/balancer/room.go
+++ b/core/balancer/room.go
@@ -12,7 +12,7 @@
 const (
 	aheadShare  = 1.0 / 3                // of a target's slots, for requests that wait there so that a slot that comes free finds work
 	blindAfter  = 250 * time.Millisecond // without a report of any target, choices are made without them
-	giveUpShare = 0.5                    // of its time, after which a request that still waits is refused while its caller can try again
+	giveUpShare = 0.35                   // of its time, after which a request that still waits is refused while its caller can try again
 )
 
 // room reports whether the target has a free slot, or a short queue, by its last report and what was sent since. Without a
