--- a/core/balancer/ask.go
+++ b/core/balancer/ask.go
@@ -61,7 +61,7 @@
 // Candidates draws up to that many targets that are to be asked for their load before the request is submitted. A target that has
 // just reported that it is slow is left out while others can be drawn.
 func (b *Balancer) Candidates(now time.Time, r request.Request, most int) []service.Target {
-	near, far := b.draw(now, r)
+	near, far := b.draw(now, r, most)
 	order := append(near, far...)
 	slices.SortStableFunc(order, func(x, y *target) int { return int(x.unlikely(now)) - int(y.unlikely(now)) })
 	drawn := make([]service.Target, 0, most)
@@ -71,11 +71,20 @@
 	return drawn
 }
 
-// draw returns the open targets in random order; for a large answer those of this data centre come first.
-func (b *Balancer) draw(now time.Time, r request.Request) (near, far []*target) {
+// draw returns the open targets in random order; for a large answer those of this data centre come first. It leaves the
+// subset only if that has too few.
+func (b *Balancer) draw(now time.Time, r request.Request, most int) (near, far []*target) {
+	near, far = b.drawFrom(b.subset, now, r)
+	if len(near)+len(far) < most && len(b.subset) < len(b.targets) {
+		return b.drawFrom(b.targets, now, r)
+	}
+	return near, far
+}
+
+func (b *Balancer) drawFrom(targets []*target, now time.Time, r request.Request) (near, far []*target) {
 	panicking := b.census.panicking()
-	for _, i := range b.Random.Perm(len(b.targets)) {
-		t := b.targets[i]
+	for _, i := range b.Random.Perm(len(targets)) {
+		t := targets[i]
 		if !t.open(now, panicking) && !t.doubtful() || slices.Contains(r.Tried, t.record.Name) {
 			continue
 		}
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -42,6 +42,7 @@
 
 	service  service.Service
 	targets  []*target
+	subset   []*target // that this entry asks
 	byName   map[string]int
 	rules    map[string]*ruleState
 	queues   [queues]fairqueue.Queue
@@ -121,6 +122,7 @@
 		}
 	}
 	b.extra.Ratio, b.extra.Cap, b.extra.Initial = s.ExtraRatio, s.ExtraBurst, s.ExtraBurst
+	b.chooseSubset()
 	b.allot()
 	b.count()
 }
--- a/core/service/service.go
+++ b/core/service/service.go
@@ -7,22 +7,23 @@
 
 // Service is what an operator's service record says.
 type Service struct {
-	Name           string
-	Targets        []Target
-	Slots          int           // requests that one target runs at a time
-	Connections    int           // connections that one target accepts, from all entries together
-	MaxEntries     int           // largest number of entries that share the limits
-	ConnectCost    time.Duration // target time for each new connection
-	ProbePath      string        // path of the load probe; empty turns probes off
-	ProbeCost      time.Duration // target time for each probe
-	ProbeBudget    time.Duration // target time for probes, for each target and second, from all entries together
-	LoadHeader     string        // answer header that carries a load report; empty when there is none
-	DrainHeader    string        // answer header by which a target says that it is leaving
-	Ramp           time.Duration // time over which a new target reaches its full share
-	Asked          int           // targets that are asked for their load before each choice; zero leaves it to what is known
-	AskedPerSecond float64       // targets that this entry may ask in a second; zero is no bound
-	ExtraRatio     float64       // extra attempts for each request, over all rules; used if ExtraBurst is set
-	ExtraBurst     float64       // extra attempts held in reserve by one entry; zero leaves the budgets to the rules
+	Name        string
+	Targets     []Target
+	Slots       int           // requests that one target runs at a time
+	Connections int           // connections that one target accepts, from all entries together
+	MaxEntries  int           // largest number of entries that share the limits
+	ConnectCost time.Duration // target time for each new connection
+	ProbePath   string        // path of the load probe; empty turns probes off
+	ProbeCost   time.Duration // target time for each probe
+	ProbeBudget time.Duration // target time for probes, for each target and second, from all entries together
+	LoadHeader  string        // answer header that carries a load report; empty when there is none
+	DrainHeader string        // answer header by which a target says that it is leaving
+	Ramp        time.Duration // time over which a new target reaches its full share
+	Asked       int           // targets that are asked for their load before each choice; zero leaves it to what is known
+	Subset      int           // targets that one entry asks; zero is all of them
+
+	ExtraRatio float64 // extra attempts for each request, over all rules; used if ExtraBurst is set
+	ExtraBurst float64 // extra attempts held in reserve by one entry; zero leaves the budgets to the rules
 }
 
 // Target is one server of a service.
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -20,7 +20,7 @@
 
 const (
 	firstRetry   = 250 * time.Millisecond
-	longestRetry = 1200 * time.Millisecond // shorter than the time after an outage in which an entry may still be behind
+	longestRetry = 2 * time.Second         // shorter than the time after an outage in which an entry may still be behind
 	returnGrace  = 2200 * time.Millisecond // registrations that lapsed in an outage are back two seconds after it
 	outageAfter  = 1500 * time.Millisecond // without an answer, the store counts as having been away
 	graceTick    = 250 * time.Millisecond
@@ -36,12 +36,14 @@
 	WaitConfig time.Duration // for which one call waits for a new configuration
 	Patience   time.Duration // longest time that the word of a leader may be behind the store
 	HoldOff    time.Duration // at the start, in which a leader may make reading needless
+	First      func() bool   // whether this entry is known to have no leader
 	Decode     func(t configuration.Text) (*configuration.Configuration, error)
 	Changed    func(c *catalog.Catalog) // called after each change, one call at a time
 	Fill       func(s *service.Service) // completes a service that the configuration names
 	Publish    func(n news.News)        // tells followers, one call at a time
 
 	current atomic.Pointer[catalog.Catalog]
+	failing atomic.Bool  // the last look at the targets failed, so that the configuration need not be asked for
 	answers atomic.Int64 // calls that the store has answered
 
 	mu       sync.Mutex
@@ -93,7 +95,7 @@
 	k.targets.ReturnGrace = returnGrace
 	k.mu.Unlock()
 	go k.endGrace(ctx)
-	sleepUnless(ctx, k.HoldOff, k.led)
+	sleepUnless(ctx, k.HoldOff, func() bool { return k.led() || k.First() })
 	go k.followConfiguration(ctx)
 	k.followTargets(ctx)
 }
@@ -140,8 +142,8 @@
 	after, known := uint64(0), false
 	retry := backoff{}
 	for ctx.Err() == nil {
-		if k.led() {
-			known = false
+		if k.led() || k.failing.Load() {
+			known = known && !k.led()
 			sleep(ctx, ledTick)
 			continue
 		}
@@ -175,10 +177,12 @@
 			continue
 		}
 		if err := k.lookAtTargets(ctx); err != nil {
+			k.failing.Store(true)
 			k.failed("targets", err)
 			k.pause(ctx, &retry)
 			continue
 		}
+		k.failing.Store(false)
 		k.answered(&retry)
 		sleep(ctx, k.PollEvery)
 	}
@@ -317,7 +321,7 @@
 
 func (b *backoff) next() time.Duration {
 	b.wait = min(longestRetry, max(firstRetry, 2*b.wait))
-	return time.Duration(float64(b.wait) * (0.75 + rand.Float64()/2))
+	return time.Duration(float64(b.wait) * (0.8 + 0.3*rand.Float64()))
 }
 
 // pause waits for the next attempt, or until another call shows that the store answers again.
--- a/entry/news/follower.go
+++ b/entry/news/follower.go
@@ -19,6 +19,7 @@
 	dialTimeout = 250 * time.Millisecond // a VM of the same data centre answers within a millisecond
 	lookAgain   = 2 * time.Second        // between attempts to follow while this entry reads the store itself
 	firstLook   = 100 * time.Millisecond
+	startTime   = 3 * time.Second // in which leaders may still be starting, too
 )
 
 // Follower takes the news of another entry; its exported fields are set before Run.
@@ -31,7 +32,7 @@
 
 // Run follows the first leader that has fresh news, until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	wait := firstLook
+	wait, begun := firstLook, f.Now()
 	for ctx.Err() == nil {
 		for _, leader := range f.Leaders() {
 			if f.follow(ctx, leader) {
@@ -45,7 +46,9 @@
 		case <-timer.C:
 		}
 		timer.Stop()
-		wait = min(lookAgain, 2*wait)
+		if f.Now().Sub(begun) > startTime {
+			wait = min(lookAgain, 2*wait)
+		}
 	}
 }
 
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -102,6 +102,11 @@
 	return len(r.members)
 }
 
+// First reports whether the list is known and this entry comes first in its data centre.
+func (r *Roster) First() bool {
+	return r.Size() > 0 && len(r.Leaders()) == 0
+}
+
 // Leaders returns the entries of this data centre that come before this one, in order.
 func (r *Roster) Leaders() []netip.AddrPort {
 	r.mu.Lock()
