--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -132,6 +132,7 @@
 	a := &attempt{request: r, target: t, begun: now, expected: state.expected(), long: long, load: t.load.At(now), cost: v.Cost(i)}
 	a.fresh = t.report.Slots > 0 && now.Sub(t.reportAt) < confirmedFor
 	a.held, a.slowdown = t.report.InFlight()+t.sentSince, t.slowdown()
+	age := t.load.Age(now)
 	b.inFlight[r.ID] = a
 	t.load.Sent()
 	b.delist(t)
@@ -144,7 +145,7 @@
 	} else {
 		t.score.Begin(r.ID, now, a.expected)
 	}
-	return decision.Decision{ID: r.ID, Kind: decision.Send, Name: t.record.Name, Address: t.record.Address, Instance: t.record.Instance}, true
+	return decision.Decision{ID: r.ID, Kind: decision.Send, Name: t.record.Name, Address: t.record.Address, Instance: t.record.Instance, Cost: a.cost, ReportAge: age}, true
 }
 
 // Poll sends or refuses requests that wait; call it after Finish, and every millisecond while any wait.
--- a/core/decision/decision.go
+++ b/core/decision/decision.go
@@ -24,6 +24,8 @@
 	Name       string // target, for Send
 	Address    netip.AddrPort
 	Instance   string        // by which the target knows itself, for Send
+	Cost       float64       // expected, as a multiple of an idle target's time, for Send
+	ReportAge  time.Duration // of the target's load report, for Send
 	Code       code.Code     // for Refuse
 	RetryAfter time.Duration // for Refuse
 }
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -74,6 +74,11 @@
 	return !k.led()
 }
 
+// Failing reports whether the store could not be read at the last look.
+func (k *Keeper) Failing() bool {
+	return k.failing.Load()
+}
+
 // Refresh completes the services anew, since the fleet has changed.
 func (k *Keeper) Refresh() {
 	k.update(func(time.Time) bool { return true })
--- a/entry/exchange/answer.go
+++ b/entry/exchange/answer.go
@@ -100,6 +100,7 @@
 	}
 	c.Dialect.Sign(header, c.id)
 	c.progress.begin(c.r, from)
+	c.trace.status = from.StatusCode
 	c.w.WriteHeader(from.StatusCode)
 	if from.ContentLength < 0 {
 		_ = c.control.Flush()
@@ -164,6 +165,7 @@
 		header.Add(f.Name, f.Value)
 	}
 	c.Dialect.Sign(header, c.id)
+	c.trace.status = kept.Status
 	c.w.WriteHeader(kept.Status)
 	if c.r.Method != http.MethodHead {
 		_ = c.write(kept.Body)
--- a/entry/exchange/attempt.go
+++ b/entry/exchange/attempt.go
@@ -213,6 +213,7 @@
 		c.Crashes.Forgive(c.print)
 	}
 	c.Counter("target." + string(o.Kind)).Inc(1)
+	c.trace.attempt(d, *o)
 	if o.Draining {
 		c.Left(c.rule.Service, d.Name)
 	}
--- a/entry/exchange/call.go
+++ b/entry/exchange/call.go
@@ -41,6 +41,7 @@
 	mayHaveRun atomic.Bool // some attempt ended without proof that it did not run
 	committed  atomic.Bool // the header of the answer has gone to the caller
 	progress   progress    // of an answer that is streamed
+	trace      trace
 }
 
 func (c *call) close() {
@@ -53,6 +54,7 @@
 }
 
 func (c *call) refuse(r refusal.Refusal) {
+	c.trace.refusal = r.Code
 	c.Counter("caller.refused." + r.Code.Entry().Name).Inc(1)
 	c.Check.Hold(!c.committed.Load(), "a refusal after the answer began")
 	c.Dialect.Sign(c.w.Header(), c.id)
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -108,6 +108,7 @@
 	begun := h.Now()
 	c := &call{Handler: h, w: w, r: r, control: http.NewResponseController(w)}
 	defer c.close()
+	defer c.logOutcome(begun)
 	if refused := c.prepare(); refused != nil {
 		c.refuseEarly(*refused)
 		return
--- /dev/null
+++ b/entry/exposition/doc.go
@@ -0,0 +1,2 @@
+// Package exposition serves counters and histograms as text.
+package exposition
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -95,6 +95,13 @@
 	})
 }
 
+// Members returns the entries on the list, this one included.
+func (r *Roster) Members() []membership.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.members)
+}
+
 // Size returns the number of entries, or zero while it is not known.
 func (r *Roster) Size() int {
 	r.mu.Lock()
