Do not take a target whose attempts fail for one that answers late

Cause, found by the test of the shared budget: the cost that ranks targets counts failures, and was also used to tell whether an answer would be in time; while a whole service shed, every request waited until it was late. Tests of the new decisions.

--- a/core/balancer/ask.go
+++ b/core/balancer/ask.go
@@ -41,20 +41,25 @@
 	return max(1, t.report.Slowdown)
 }
 
-// reportedCost is the expected time to an answer as a multiple of that of an idle target, by the last report and what
-// was sent since.
-func (t *target) reportedCost(now time.Time) float64 {
+// answerTime is the expected time to an answer as a multiple of that of an idle target, by the last report and what was
+// sent since.
+func (t *target) answerTime(now time.Time) float64 {
 	slots := float64(t.report.Slots)
 	held := float64(t.report.InFlight() + t.sentSince)
-	cost := 1 + max(0, held+1-slots)/slots
+	multiple := 1 + max(0, held+1-slots)/slots
 	if held+1 > crowdedShare*slots {
-		cost *= t.crowding.factor()
+		multiple *= t.crowding.factor()
 	}
-	cost *= t.slowdown()
 	if now.Before(t.record.ColdUntil) {
-		cost *= coldFactor
+		multiple *= coldFactor
 	}
-	cost += busyCost * held / slots
+	return multiple * t.slowdown()
+}
+
+// reportedCost ranks targets by the time to an answer; one whose attempts fail costs more.
+func (t *target) reportedCost(now time.Time) float64 {
+	held := float64(t.report.InFlight() + t.sentSince)
+	cost := t.answerTime(now) + busyCost*held/float64(t.report.Slots)
 	return cost * (1 + errorCost*t.score.ErrorShare())
 }
 
--- /dev/null
+++ b/core/balancer/ask_test.go
@@ -0,0 +1,259 @@
+package balancer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"poplarworks/core/code"
+	"poplarworks/core/decision"
+	"poplarworks/core/freshest"
+	"poplarworks/core/outcome"
+	"poplarworks/core/powerofd"
+	"poplarworks/core/report"
+	"poplarworks/core/request"
+	"poplarworks/core/rule"
+	"poplarworks/core/service"
+)
+
+func askedRule() rule.Rule {
+	return rule.Rule{
+		Name: "status", Idempotent: true, Class: rule.Short, Deadline: 1200 * time.Millisecond, MaxAttempts: 2,
+		Objective: 300 * time.Millisecond,
+	}
+}
+
+// askedDriver drives a service whose targets are asked, and whose requests are known to take 100 ms.
+func askedDriver(t *testing.T, targets, slots int, change ...func(s *service.Service)) *driver {
+	s := record(targets, slots)
+	s.Asked, s.ExtraBurst, s.ExtraRatio = 4, 3, 0.2
+	for _, c := range change {
+		c(&s)
+	}
+	d := drive(t, s)
+	random := rand.New(rand.NewPCG(3, 4))
+	d.Picker = &freshest.Picker{MaxAge: 25 * time.Millisecond, Fallback: &powerofd.Picker{Choices: 4, Random: random}}
+	d.rule = askedRule()
+	for range 20 {
+		d.reportAll(report.Report{Slots: slots, Slowdown: 1})
+		sent := d.submit(d.rule)
+		d.now = d.now.Add(100 * time.Millisecond)
+		d.finish(sent, outcome.Answered, 100*time.Millisecond)
+	}
+	return d
+}
+
+func (d *driver) reportAll(r report.Report) {
+	for _, target := range d.targets {
+		d.Probed(d.now, target.record.Name, r, false)
+	}
+}
+
+func TestTheCheapestOfTheReportedIsTaken(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		reports map[string]report.Report
+		want    string
+	}{
+		{"the idle one", map[string]report.Report{"t1": {Running: 2, Slots: 3, Slowdown: 1}, "t2": {Slots: 3, Slowdown: 1}}, "t2"},
+		{"not the slow one", map[string]report.Report{"t1": {Running: 1, Slots: 3, Slowdown: 1}, "t2": {Slots: 3, Slowdown: 5}}, "t1"},
+		{"not the one with a queue", map[string]report.Report{"t1": {Running: 3, Waiting: 1, Slots: 3, Slowdown: 1}, "t2": {Running: 2, Slots: 3, Slowdown: 1}}, "t2"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			d := askedDriver(t, 2, 3)
+			d.now = d.now.Add(time.Second)
+			for name, r := range s.reports {
+				d.Probed(d.now, name, r, false)
+			}
+			if got := d.submit(d.rule); got.Name != s.want {
+				t.Errorf("got %s %q, want %s", got.Kind, got.Name, s.want)
+			}
+		})
+	}
+}
+
+// Two requests of one entry must not both go to the last free slot that a report showed.
+func TestWhatWasSentSinceTheReportCounts(t *testing.T) {
+	d := askedDriver(t, 1, 3)
+	d.reportAll(report.Report{Running: 2, Slots: 3, Slowdown: 1})
+	var got []decision.Kind
+	for range 3 {
+		got = append(got, d.submit(d.rule).Kind)
+	}
+	want := []decision.Kind{decision.Send, decision.Send, decision.Wait}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("request %d: got %s, want %s", i+1, got[i], want[i])
+		}
+	}
+}
+
+// Replays the worst of a crest: every target is full. Requests wait at the entry, where they can still go to whichever
+// target has room first; those that can be in time go before those that cannot.
+func TestAtACrestTimelyRequestsGoFirst(t *testing.T) {
+	d := askedDriver(t, 4, 3)
+	full := report.Report{Running: 3, Waiting: 1, Slots: 3, Slowdown: 1}
+	d.reportAll(full)
+	old := d.submit(d.rule)
+	d.now = d.now.Add(250 * time.Millisecond)
+	d.reportAll(full)
+	if got := d.Poll(d.now); len(got) != 0 {
+		t.Fatalf("got %d decisions while all targets are full, want none", len(got))
+	}
+	young := d.submit(d.rule)
+	if old.Kind != decision.Wait || young.Kind != decision.Wait {
+		t.Fatalf("got %s and %s, want both to wait", old.Kind, young.Kind)
+	}
+	d.Probed(d.now, "t1", report.Report{Running: 3, Slots: 3, Slowdown: 1}, false)
+	got := d.Poll(d.now)
+	if len(got) != 1 || got[0].ID != young.ID || got[0].Kind != decision.Send {
+		t.Errorf("got %+v, want the younger request sent", got)
+	}
+}
+
+// A request that has waited for a third of its time is refused as not run, while its caller can still try again.
+func TestAWaitEndsWhileTheCallerCanTryAgain(t *testing.T) {
+	d := askedDriver(t, 4, 3)
+	full := report.Report{Running: 3, Waiting: 3, Slots: 3, Slowdown: 1}
+	d.reportAll(full)
+	waiting := d.submit(d.rule)
+	for range 60 {
+		d.now = d.now.Add(10 * time.Millisecond)
+		d.reportAll(full)
+		for _, got := range d.Poll(d.now) {
+			if got.ID != waiting.ID || got.Kind != decision.Refuse || got.Code != code.Overloaded || got.RetryAfter <= 0 {
+				t.Errorf("got %+v, want an overload refusal with a time to come back", got)
+			}
+			return
+		}
+	}
+	t.Error("the request still waits after 600 ms of its 1200, want a refusal")
+}
+
+// A request that its caller has sent before is late already, and goes to a slow target when there is room.
+func TestARepeatedRequestDoesNotWaitForAFastTarget(t *testing.T) {
+	d := askedDriver(t, 1, 3)
+	first := request.Request{Rule: &d.rule, Caller: "c", Arrived: d.now, Deadline: d.now.Add(time.Second), Left: 2500 * time.Millisecond}
+	d.reportAll(report.Report{Slots: 3, Slowdown: 5})
+	if got := d.Submit(d.now, first); got.Kind != decision.Wait {
+		t.Errorf("first attempt at a slow target: got %s, want wait", got.Kind)
+	}
+	again := first
+	again.Left = 1500 * time.Millisecond
+	d.now = d.now.Add(time.Second / 4)
+	d.reportAll(report.Report{Slots: 3, Slowdown: 5})
+	d.Poll(d.now)
+	d.reportAll(report.Report{Slots: 3, Slowdown: 5})
+	again.Arrived, again.Deadline = d.now, d.now.Add(time.Second)
+	if got := d.Submit(d.now, again); got.Kind != decision.Send {
+		t.Errorf("second attempt: got %s, want send", got.Kind)
+	}
+}
+
+func TestWithoutReportsChoicesAreStillMade(t *testing.T) {
+	d := askedDriver(t, 3, 3)
+	d.now = d.now.Add(blindAfter + reportUseful + time.Millisecond)
+	if got := d.submit(d.rule); got.Kind != decision.Send {
+		t.Errorf("got %s %d, want a target", got.Kind, got.Code)
+	}
+}
+
+// Targets that slow down when they are nearly full do more with a slot left free.
+func TestTheLastSlotStaysFreeWhereThatDoesMore(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		crowded time.Duration // latency at a target with two of three slots taken
+		want    decision.Kind
+	}{
+		{"no slower when full", 100 * time.Millisecond, decision.Send},
+		{"much slower when full", 200 * time.Millisecond, decision.Wait},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			d := askedDriver(t, 1, 3)
+			busy := report.Report{Running: 2, Slots: 3, Slowdown: 1}
+			for range 10 * crowdedSamples {
+				d.reportAll(busy)
+				sent := d.submit(d.rule)
+				if sent.Kind != decision.Send {
+					break
+				}
+				d.now = d.now.Add(s.crowded)
+				d.finish(sent, outcome.Answered, s.crowded)
+			}
+			d.now = d.now.Add(time.Second)
+			d.reportAll(busy)
+			if got := d.submit(d.rule); got.Kind != s.want {
+				t.Errorf("got %s, want %s", got.Kind, s.want)
+			}
+		})
+	}
+}
+
+func TestADoubtfulTargetNeedsAFreshWord(t *testing.T) {
+	d := askedDriver(t, 1, 3, func(s *service.Service) { s.Targets[0].Doubtful = true })
+	d.reportAll(report.Report{Slots: 3, Slowdown: 1})
+	if got := d.submit(d.rule); got.Kind != decision.Send {
+		t.Errorf("just after a report: got %s, want send", got.Kind)
+	}
+	d.now = d.now.Add(time.Second)
+	if got := d.submit(d.rule); got.Kind == decision.Send {
+		t.Error("a second after the report: got send, want none")
+	}
+	if got := len(d.Candidates(d.now, request.Request{Rule: &d.rule}, 4)); got != 1 {
+		t.Errorf("got %d candidates, want 1: only a question can tell", got)
+	}
+}
+
+func TestRetriesAndHedgesShareOneBudget(t *testing.T) {
+	d := askedDriver(t, 8, 3, func(s *service.Service) { s.ExtraRatio = 0 })
+	extra := 0
+	for range 50 {
+		d.reportAll(report.Report{Slots: 3, Slowdown: 1})
+		sent := d.submit(d.rule)
+		again := request.Request{ID: sent.ID, Rule: &d.rule, Arrived: d.now, Deadline: d.now.Add(time.Second), Attempt: 1, Tried: []string{sent.Name}}
+		failed := outcome.Outcome{Kind: outcome.Shed}
+		d.Finish(d.now, sent.ID, failed)
+		if next, ok := d.Retry(d.now, again, failed); ok {
+			extra++
+			if next.Kind != decision.Send {
+				t.Fatalf("got %s, want send", next.Kind)
+			}
+			d.finish(next, outcome.Answered, 100*time.Millisecond)
+		}
+	}
+	if want := 3; extra != want {
+		t.Errorf("got %d extra attempts, want %d", extra, want)
+	}
+}
+
+// Replays a large service: each of many entries asks a part of the targets, and every target is asked by some.
+func TestSubsetsCoverAllTargets(t *testing.T) {
+	const targets, entries, size = 120, 100, 24
+	asked := map[string]int{}
+	for e := range entries {
+		s := record(targets, 3)
+		s.Asked, s.Subset = 4, size
+		for i := range s.Targets {
+			s.Targets[i].DataCentre = fmt.Sprintf("dc%d", i%3)
+		}
+		b := &Balancer{Self: fmt.Sprintf("entry-%d", e), Home: "dc0", Random: rand.New(rand.NewPCG(1, 2))}
+		b.Configure(time.Unix(1_800_000_000, 0), s)
+		if got := len(b.subset); got != size {
+			t.Fatalf("got a subset of %d, want %d", got, size)
+		}
+		near := 0
+		for _, target := range b.subset {
+			asked[target.record.Name]++
+			near += b.home(target)
+		}
+		if want := size * 2 / 3; near != want {
+			t.Fatalf("got %d targets of the own data centre, want %d", near, want)
+		}
+	}
+	if len(asked) != targets {
+		t.Errorf("got %d targets in some subset, want %d", len(asked), targets)
+	}
+}
--- a/core/balancer/room.go
+++ b/core/balancer/room.go
@@ -50,10 +50,10 @@
 // timely reports whether the target will probably answer in time for full worth. A request that cannot have that any more
 // may go to slow targets too.
 func (v *view) timely(t *target) bool {
-	if !t.asked || v.state == nil || v.request.Rule.Objective == 0 || v.state.late(v.now, v.request) {
+	if !t.asked || t.report.Slots == 0 || v.state == nil || v.request.Rule.Objective == 0 || v.state.late(v.now, v.request) {
 		return true
 	}
-	expected := time.Duration(t.cost(v.now) * float64(v.state.idleTime()))
+	expected := time.Duration(t.answerTime(v.now) * float64(v.state.idleTime()))
 	return !v.now.Add(expected).After(v.state.aim(v.request))
 }
 
