--- a/entry/app/app.go
+++ b/entry/app/app.go
@@ -17,6 +17,7 @@
 	"poplarworks/core/invariant"
 	"poplarworks/entry/common"
 	"poplarworks/entry/logformat"
+	"poplarworks/entry/logsink"
 	"poplarworks/entry/settings"
 )
 
@@ -24,6 +25,7 @@
 const (
 	exitUsage  = 2
 	exitBreach = 3
+	flushWait  = 100 * time.Millisecond // for the log at the end
 )
 
 const (
@@ -80,6 +82,9 @@
 		return nil, errors.Wrap(err, "log level")
 	}
 	logger := logrus.New()
+	sink := &logsink.Sink{Out: os.Stderr}
+	go sink.Run()
+	logger.SetOutput(sink)
 	logger.SetLevel(level)
 	logger.SetFormatter(logformat.New())
 	c := &common.Common{
@@ -91,6 +96,7 @@
 	if parsed.AssertInvariants {
 		c.Check = &invariant.Checker{Fail: func(breach string) {
 			c.Log("invariant").Error(breach)
+			sink.Flush(flushWait)
 			os.Exit(exitBreach)
 		}}
 	}
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"poplarworks/core/answer"
+	"poplarworks/core/bucket"
 	"poplarworks/core/catalog"
 	"poplarworks/core/code"
 	"poplarworks/core/quarantine"
@@ -82,8 +83,10 @@
 	Left     func(service string, target string) // tells of a target that says it is leaving
 	Quota    *buffers.Quota
 
-	inFlight atomic.Int64
-	chunks   sync.Pool // of pieces of copyChunk bytes
+	inFlight  atomic.Int64
+	logMu     sync.Mutex
+	logTokens bucket.Bucket
+	chunks    sync.Pool // of pieces of copyChunk bytes
 }
 
 // chunk returns a piece of memory for copying, to be given back when the copy has ended.
--- a/entry/exchange/trace.go
+++ b/entry/exchange/trace.go
@@ -13,6 +13,9 @@
 	"poplarworks/core/outcome"
 )
 
+// linesPerSecond bounds the lines of requests in the log; a small VM serves fewer, and a large one's log stays readable.
+const linesPerSecond = 300
+
 // trace collects what became of a request, for its one line in the log.
 type trace struct {
 	mu       sync.Mutex
@@ -29,9 +32,21 @@
 		d.Name, o.Kind, d.Cost, d.ReportAge.Round(100*time.Microsecond), o.Latency.Round(time.Millisecond)))
 }
 
+// mayLog bounds the lines of requests, before the work of writing one is done.
+func (h *Handler) mayLog() bool {
+	h.logMu.Lock()
+	defer h.logMu.Unlock()
+	h.logTokens.PerSecond, h.logTokens.Burst = linesPerSecond, linesPerSecond
+	_, ok := h.logTokens.Take(h.Now())
+	if !ok {
+		h.Counter("log.requests-left-out").Inc(1)
+	}
+	return ok
+}
+
 // logOutcome writes the line of the request.
 func (c *call) logOutcome(begun time.Time) {
-	if !c.Logger.IsLevelEnabled(logrus.InfoLevel) {
+	if !c.Logger.IsLevelEnabled(logrus.InfoLevel) || !c.mayLog() {
 		return
 	}
 	c.trace.mu.Lock()
