--- /dev/null
+++ b/entry/logsink/sink_test.go
@@ -0,0 +1,64 @@
+package logsink
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// blocked is a log whose reader has stopped.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(data []byte) (int, error) {
+	<-b.release
+	return len(data), nil
+}
+
+func TestABlockedLogHoldsNobodyUp(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	s := &Sink{Out: blocked{release}}
+	go s.Run()
+	begun := time.Now()
+	for range 10 * capacity {
+		if _, err := s.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(begun); took > time.Second {
+		t.Errorf("got %s for lines that nobody reads, want less than a second", took)
+	}
+	if s.dropped.Load() == 0 {
+		t.Error("got no line dropped, want most of them")
+	}
+}
+
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(data []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(data)
+}
+
+func TestTheRateIsBounded(t *testing.T) {
+	out := &safeBuffer{}
+	s := &Sink{Out: out}
+	go s.Run()
+	for range 3 * burst {
+		_, _ = s.Write([]byte("line\n"))
+		time.Sleep(10 * time.Microsecond)
+	}
+	s.Flush(time.Second)
+	time.Sleep(10 * time.Millisecond)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	if got, most := strings.Count(out.b.String(), "line\n"), 2*burst; got > most || got < burst/2 {
+		t.Errorf("got %d lines, want at most %d", got, most)
+	}
+}
--- /dev/null
+++ b/entry/news/news_test.go
@@ -0,0 +1,148 @@
+package news
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"poplarworks/core/news"
+	"poplarworks/core/registry"
+	"poplarworks/entry/common"
+	"poplarworks/entry/newspb"
+)
+
+func testCommon() *common.Common {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return &common.Common{Logger: logger, Metrics: metrics.NewRegistry()}
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func sample(version uint64, age time.Duration) news.News {
+	return news.News{
+		Whole: true, Version: version, Age: age, Configuration: []byte("text"), Revision: 7,
+		Registrations: []registry.Change{
+			{Key: "a", Version: 3, Entry: &registry.Entry{
+				Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "dc", Slots: 3, Leaving: true,
+				WarmupLeft: time.Second, Sequence: 9, Started: time.UnixMilli(1_800_000_000_123),
+			}},
+			{Key: "b", Version: 4},
+		},
+	}
+}
+
+func TestNewsSurviveTheWire(t *testing.T) {
+	want := sample(5, 20*time.Millisecond)
+	got, err := fromWire(toWire(want))
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+}
+
+func TestNewsWithABadAddressAreRefused(t *testing.T) {
+	wire := toWire(sample(5, 0))
+	wire.Registrations[0].Address = "nowhere"
+	if _, err := fromWire(wire); err == nil {
+		t.Error("got no error, want one")
+	}
+}
+
+func TestAFollowerTakesTheFirstLeaderWithFreshNews(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		leaders []string // dead, silent, stale, ignorant, good
+		want    bool
+	}{
+		{"a good one", []string{"good"}, true},
+		{"a dead one before it", []string{"dead", "good"}, true},
+		{"one that has no news yet before it", []string{"ignorant", "good"}, true},
+		{"one with stale news before it", []string{"stale", "good"}, true},
+		{"one that accepts and says nothing before it", []string{"silent", "good"}, true},
+		{"none that is good", []string{"dead", "stale", "ignorant"}, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			t.Cleanup(cancel)
+			var leaders []netip.AddrPort
+			for _, kind := range s.leaders {
+				leaders = append(leaders, startLeader(ctx, t, kind))
+			}
+			received := make(chan news.News, 10)
+			f := &Follower{
+				Common: testCommon(), Patience: 300 * time.Millisecond,
+				Leaders: func() []netip.AddrPort { return leaders },
+				Receive: func(n news.News) { received <- n },
+			}
+			go f.Run(ctx)
+			select {
+			case n := <-received:
+				if !s.want || n.Version != 5 {
+					t.Errorf("got version %d, want news: %t", n.Version, s.want)
+				}
+			case <-time.After(1500 * time.Millisecond):
+				if s.want {
+					t.Error("got no news, want some")
+				}
+			}
+		})
+	}
+}
+
+func startLeader(ctx context.Context, t *testing.T, kind string) netip.AddrPort {
+	t.Helper()
+	address := freeAddress(t)
+	switch kind {
+	case "dead":
+		return address
+	case "silent":
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		return address
+	}
+	p := &Publisher{Common: testCommon(), Address: address, Whole: func() (news.News, bool) {
+		age := time.Duration(0)
+		if kind == "stale" {
+			age = time.Second
+		}
+		return sample(5, age), kind != "ignorant"
+	}}
+	if err := p.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
+func TestChangesReachFollowersAndALaggardIsDropped(t *testing.T) {
+	p := &Publisher{Common: testCommon(), followers: map[chan *newspb.News]struct{}{}}
+	queue := p.enrol()
+	for n := range backlog + 1 {
+		p.Publish(news.News{Version: uint64(n)})
+	}
+	count := 0
+	for range queue {
+		count++
+	}
+	if count != backlog || len(p.followers) != 0 {
+		t.Errorf("got %d news and %d followers, want %d and none", count, len(p.followers), backlog)
+	}
+}
--- a/measure/app/app.go
+++ b/measure/app/app.go
@@ -14,6 +14,7 @@
 	"poplarworks/measure/probing"
 	"poplarworks/measure/shortlong"
 	"poplarworks/measure/slopes"
+	"poplarworks/measure/soak"
 	"poplarworks/measure/tail"
 )
 
@@ -32,6 +33,7 @@
 			probing.Command(),
 			shortlong.Command(),
 			slopes.Command(),
+			soak.Command(),
 			tail.Command(),
 		},
 	}
--- a/measure/fleet/fleet.go
+++ b/measure/fleet/fleet.go
@@ -90,7 +90,7 @@
 		return "", err
 	}
 	folder := filepath.Join(root, "bin", tags)
-	for name, module := range map[string]string{"poplar-entry": "entry", "poplarctl": "ctl", "poplar-standin": "standin"} {
+	for name, module := range map[string]string{"poplar-entry": "entry", "poplarctl": "ctl", "poplar-standin": "standin", "poplar-platform": "platform"} {
 		command := exec.CommandContext(context.Background(), "go", "build", "-tags", tags, "-o", filepath.Join(folder, name), "./"+module)
 		command.Dir = root
 		if output, err := command.CombinedOutput(); err != nil {
--- /dev/null
+++ b/measure/soak/command.go
@@ -0,0 +1,41 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Command returns the soak.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run entries of the users' platform under random faults, and check every promise",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of runs, with seeds that follow each other"},
+			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "of the faults of each run"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			failed := 0
+			for i := range c.Int("seeds") {
+				run := &Run{Seed: c.Uint64("seed") + uint64(i), Duration: c.Duration("duration"), Out: c.Root().Writer}
+				breaches, served, err := run.Do(ctx)
+				if err != nil {
+					return err
+				}
+				run.note("seed %d: %d served, %d breaches", run.Seed, served, len(breaches))
+				for _, breach := range breaches {
+					run.note("  %s", breach)
+				}
+				failed += min(1, len(breaches))
+			}
+			if failed > 0 {
+				return cli.Exit(fmt.Sprintf("%d of %d runs broke a promise", failed, c.Int("seeds")), 1)
+			}
+			return nil
+		},
+	}
+}
