--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core entry ctl standin measure
+MODULES := core entry ctl standin measure platform
 
 .PHONY: build demo test chaos measure
 
@@ -7,6 +7,7 @@
 	go build -o bin/poplarctl ./ctl
 	go build -o bin/poplar-standin ./standin
 	go build -o bin/measure ./measure
+	go build -o bin/poplar-platform ./platform
 
 # Runs the Registry's example with three entries, sends requests, prints what came, and stops what it started.
 demo: build
--- a/standin/backend/target.go
+++ b/standin/backend/target.go
@@ -56,6 +56,11 @@
 	return nil
 }
 
+// Address returns where the target listens.
+func (t *Target) Address() string {
+	return t.listener.Addr().String()
+}
+
 // Stop ends the target at once.
 func (t *Target) Stop() {
 	_ = t.server.Close()
@@ -85,7 +90,7 @@
 		state = "draining"
 	}
 	data, err := json.Marshal(map[string]any{
-		"service": t.Service, "address": t.listener.Addr().String(), "zone": "dc", "configVersion": "v1", "capacity": t.Slots,
+		"service": t.Service, "address": t.Address(), "zone": "dc", "configVersion": "v1", "capacity": t.Slots,
 		"state": state, "warmupLeftMs": 0, "sequence": t.sequence, "born": t.born.UnixMilli(),
 	})
 	if err != nil {
