--- a/core/balancer/ask_test.go
+++ b/core/balancer/ask_test.go
@@ -25,7 +25,8 @@
 }
 
 // askedDriver drives a service whose targets are asked, and whose requests are known to take 100 ms.
-func askedDriver(t *testing.T, targets, slots int, change ...func(s *service.Service)) *driver {
+func askedDriver(t *testing.T, targets int, change ...func(s *service.Service)) *driver {
+	const slots = 3
 	s := record(targets, slots)
 	s.Asked, s.ExtraBurst, s.ExtraRatio = 4, 3, 0.2
 	for _, c := range change {
@@ -62,7 +63,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			d := askedDriver(t, 2, 3)
+			d := askedDriver(t, 2)
 			d.now = d.now.Add(time.Second)
 			for name, r := range s.reports {
 				d.Probed(d.now, name, r, false)
@@ -76,7 +77,7 @@
 
 // Two requests of one entry must not both go to the last free slot that a report showed.
 func TestWhatWasSentSinceTheReportCounts(t *testing.T) {
-	d := askedDriver(t, 1, 3)
+	d := askedDriver(t, 1)
 	d.reportAll(report.Report{Running: 2, Slots: 3, Slowdown: 1})
 	var got []decision.Kind
 	for range 3 {
@@ -93,7 +94,7 @@
 // Replays the worst of a crest: every target is full. Requests wait at the entry, where they can still go to whichever
 // target has room first; those that can be in time go before those that cannot.
 func TestAtACrestTimelyRequestsGoFirst(t *testing.T) {
-	d := askedDriver(t, 4, 3)
+	d := askedDriver(t, 4)
 	full := report.Report{Running: 3, Waiting: 1, Slots: 3, Slowdown: 1}
 	d.reportAll(full)
 	old := d.submit(d.rule)
@@ -115,7 +116,7 @@
 
 // A request that has waited for a third of its time is refused as not run, while its caller can still try again.
 func TestAWaitEndsWhileTheCallerCanTryAgain(t *testing.T) {
-	d := askedDriver(t, 4, 3)
+	d := askedDriver(t, 4)
 	full := report.Report{Running: 3, Waiting: 3, Slots: 3, Slowdown: 1}
 	d.reportAll(full)
 	waiting := d.submit(d.rule)
@@ -134,7 +135,7 @@
 
 // A request that its caller has sent before is late already, and goes to a slow target when there is room.
 func TestARepeatedRequestDoesNotWaitForAFastTarget(t *testing.T) {
-	d := askedDriver(t, 1, 3)
+	d := askedDriver(t, 1)
 	first := request.Request{Rule: &d.rule, Caller: "c", Arrived: d.now, Deadline: d.now.Add(time.Second), Left: 2500 * time.Millisecond}
 	d.reportAll(report.Report{Slots: 3, Slowdown: 5})
 	if got := d.Submit(d.now, first); got.Kind != decision.Wait {
@@ -153,7 +154,7 @@
 }
 
 func TestWithoutReportsChoicesAreStillMade(t *testing.T) {
-	d := askedDriver(t, 3, 3)
+	d := askedDriver(t, 3)
 	d.now = d.now.Add(blindAfter + reportUseful + time.Millisecond)
 	if got := d.submit(d.rule); got.Kind != decision.Send {
 		t.Errorf("got %s %d, want a target", got.Kind, got.Code)
@@ -172,7 +173,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			d := askedDriver(t, 1, 3)
+			d := askedDriver(t, 1)
 			busy := report.Report{Running: 2, Slots: 3, Slowdown: 1}
 			for range 10 * crowdedSamples {
 				d.reportAll(busy)
@@ -193,7 +194,7 @@
 }
 
 func TestADoubtfulTargetNeedsAFreshWord(t *testing.T) {
-	d := askedDriver(t, 1, 3, func(s *service.Service) { s.Targets[0].Doubtful = true })
+	d := askedDriver(t, 1, func(s *service.Service) { s.Targets[0].Doubtful = true })
 	d.reportAll(report.Report{Slots: 3, Slowdown: 1})
 	if got := d.submit(d.rule); got.Kind != decision.Send {
 		t.Errorf("just after a report: got %s, want send", got.Kind)
@@ -208,7 +209,7 @@
 }
 
 func TestRetriesAndHedgesShareOneBudget(t *testing.T) {
-	d := askedDriver(t, 8, 3, func(s *service.Service) { s.ExtraRatio = 0 })
+	d := askedDriver(t, 8, func(s *service.Service) { s.ExtraRatio = 0 })
 	extra := 0
 	for range 50 {
 		d.reportAll(report.Report{Slots: 3, Slowdown: 1})
--- a/core/balancer/leaving_test.go
+++ b/core/balancer/leaving_test.go
@@ -1,11 +1,11 @@
 package balancer
 
 import (
-	"poplarworks/core/report"
 	"testing"
 	"time"
 
 	"poplarworks/core/outcome"
+	"poplarworks/core/report"
 	"poplarworks/core/stop"
 )
 
--- a/core/rule/rule.go
+++ b/core/rule/rule.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"poplarworks/core/part"
 )
 
 // Class says how long the requests of a rule run.
@@ -18,19 +20,13 @@
 // Priority says what is kept at the crest; a higher one is served first.
 type Priority int
 
-// Part is the share of one service in the requests of a rule.
-type Part struct {
-	Service string
-	Weight  float64
-}
-
 // Rule is what an operator's rule record says.
 type Rule struct {
 	Name           string
 	Service        string
-	Split          []Part   // instead of Service: the services that share the requests
-	Host           string   // exact host; empty matches every host
-	Methods        []string // empty matches every method
+	Split          []part.Part // instead of Service: the services that share the requests
+	Host           string      // exact host; empty matches every host
+	Methods        []string    // empty matches every method
 	PathPrefix     string
 	Idempotent     bool
 	Class          Class
--- a/core/split/splitter.go
+++ b/core/split/splitter.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"poplarworks/core/part"
 	"poplarworks/core/rule"
 )
 
@@ -12,7 +13,7 @@
 }
 
 type shares struct {
-	parts   []rule.Part
+	parts   []part.Part
 	credits []float64
 }
 
--- a/entry/news/news_test.go
+++ b/entry/news/news_test.go
@@ -26,7 +26,7 @@
 
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -112,7 +112,7 @@
 	case "dead":
 		return address
 	case "silent":
-		listener, err := net.Listen("tcp", address.String())
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address.String())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/measure/soak/run.go
+++ b/measure/soak/run.go
@@ -31,8 +31,9 @@
 	Duration time.Duration
 	Out      io.Writer
 
-	world  *World
-	random *rand.Rand
+	world   *World
+	random  *rand.Rand
+	pending sync.WaitGroup // faults that have not ended
 }
 
 // Do runs it and returns the broken promises and the requests served.
@@ -63,8 +64,18 @@
 	return append(breaches, c.checkCalm(time.Now().Add(settleTime-calmTime))...), served, nil
 }
 
-// calm ends all faults.
+// later calls the function after the time, and holds the calm up until then.
+func (r *Run) later(wait time.Duration, call func()) {
+	r.pending.Add(1)
+	time.AfterFunc(wait, func() {
+		defer r.pending.Done()
+		call()
+	})
+}
+
+// calm waits for the end of all faults, and undoes what they left.
 func (r *Run) calm() {
+	r.pending.Wait()
 	r.world.Store.Break(rowstore.Faults{})
 	for _, l := range r.world.Links {
 		l.Clear()
@@ -124,15 +135,15 @@
 	targets := r.world.Targets(service)
 	t := targets[r.random.IntN(len(targets))]
 	spare := len(targets) > fewestTargets
-	after := func(undo func()) { time.AfterFunc(span, undo) }
+	after := func(undo func()) { r.later(span, undo) }
 	switch n := r.random.IntN(14); n {
 	case 0:
 		p.Signal(syscall.SIGKILL)
 		after(func() { r.restart(i) })
 	case 1:
 		p.Signal(syscall.SIGTERM)
-		time.AfterFunc(grace, func() { p.Signal(syscall.SIGKILL) })
-		time.AfterFunc(grace+span, func() { r.restart(i) })
+		r.later(grace, func() { p.Signal(syscall.SIGKILL) })
+		r.later(grace+span, func() { r.restart(i) })
 	case 2:
 		p.Signal(syscall.SIGHUP)
 	case 3, 4, 5:
--- a/measure/soak/world.go
+++ b/measure/soak/world.go
@@ -28,6 +28,7 @@
 	grace       = 3 * time.Second
 	beatEvery   = 200 * time.Millisecond
 	startWait   = 10 * time.Second
+	firstPort   = 9001
 	slots       = 3
 	workTime    = 10 * time.Millisecond
 )
@@ -64,7 +65,7 @@
 		Store: &rowstore.Store{}, dir: dir, cancel: cancel,
 		targets: map[string]*backend.Target{}, gone: map[string]bool{}, left: map[string]time.Time{},
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -86,14 +87,12 @@
 }
 
 func (w *World) addEntry(i int, binaries string, store netip.AddrPort) error {
+	// A loopback address of its own keeps the fixed ports of an entry apart from those of other runs.
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, byte(64 + pid>>8&63), byte(pid), byte(10 + i)})
 	var addresses [5]netip.AddrPort
 	for n := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		addresses[n] = netip.MustParseAddrPort(listener.Addr().String())
-		_ = listener.Close()
+		addresses[n] = netip.AddrPortFrom(host, uint16(firstPort+n))
 	}
 	toStore := &link.Link{From: addresses[4], To: store}
 	if err := toStore.Start(); err != nil {
