--- a/entry/exchange/attempt.go
+++ b/entry/exchange/attempt.go
@@ -114,7 +114,7 @@
 	begun := c.Now()
 	exchange, sent, err := c.Targets.Begin(ctx, d.Address, outgoing, c.once())
 	if err != nil {
-		return c.failed(ctx, d, sent, err)
+		return c.failed(ctx, d, sent, begun, err)
 	}
 	defer exchange.Close()
 	signs := c.Dialect.Read(exchange.Answer, c.service.Record(), &c.rule)
@@ -179,8 +179,9 @@
 }
 
 // failed judges an attempt that got no answer.
-func (c *call) failed(ctx context.Context, d decision.Decision, sent bool, err error) result {
+func (c *call) failed(ctx context.Context, d decision.Decision, sent bool, begun time.Time, err error) result {
 	res := result{target: d.Name}
+	res.outcome.Latency = c.Now().Sub(begun)
 	switch {
 	case !sent:
 		res.outcome.Kind, res.code = outcome.NotSent, code.NoTarget
