Let connected entries know each other at once; a third queue in the dump

Cause of the demo's silent peers: a new connection carried no heartbeat, so that entries which met less than a second before were listed and not alive.

--- a/core/balancer/ask_test.go
+++ b/core/balancer/ask_test.go
@@ -107,6 +107,9 @@
 	if old.Kind != decision.Wait || young.Kind != decision.Wait {
 		t.Fatalf("got %s and %s, want both to wait", old.Kind, young.Kind)
 	}
+	if got, want := d.Dump(d.now).Queued, [...]int{1, 0, 1}; got != want {
+		t.Errorf("got queues of %v, want %v: one in time, one late", got, want)
+	}
 	d.Probed(d.now, "t1", report.Report{Running: 3, Slots: 3, Slowdown: 1}, false)
 	got := d.Poll(d.now)
 	if len(got) != 1 || got[0].ID != young.ID || got[0].Kind != decision.Send {
--- a/core/snapshot/service.go
+++ b/core/snapshot/service.go
@@ -11,8 +11,8 @@
 	Name     string
 	Picker   string
 	Waiting  int
-	Queued   [2]int // short, long
-	Standing [2]bool
+	Queued   [3]int // short, long, late
+	Standing [3]bool
 	Finished float64 // attempts a second
 	Ejected  int
 	Targets  []Target
--- a/entry/dump/dumper.go
+++ b/entry/dump/dumper.go
@@ -63,6 +63,7 @@
 	Waiting        int          `json:"waiting"`
 	QueuedShort    int          `json:"queued-short"`
 	QueuedLong     int          `json:"queued-long"`
+	QueuedLate     int          `json:"queued-late"`
 	StandingShort  bool         `json:"standing-short"`
 	StandingLong   bool         `json:"standing-long"`
 	EndedPerSecond float64      `json:"ended-per-second"`
@@ -181,6 +182,7 @@
 		Waiting:        s.Waiting,
 		QueuedShort:    s.Queued[0],
 		QueuedLong:     s.Queued[1],
+		QueuedLate:     s.Queued[2],
 		StandingShort:  s.Standing[0],
 		StandingLong:   s.Standing[1],
 		EndedPerSecond: s.Finished,
--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -126,6 +126,8 @@
 	l.setSession(session)
 	defer l.setSession(nil)
 	l.mesh.Log("peer").WithField("peer", l.name).Info("Connected to a peer.")
+	// The last heartbeat may be from before this connection; the peer must not wait for the next one to know this entry.
+	l.send(l.mesh.heartbeat())
 	go l.inform(ctx, reply.GetHello().GetLeaving())
 	l.mesh.pullIfBehind(l.name, reply.GetHello().GetRevision())
 	l.send(&peerpb.Envelope{Version: newestVersion, Body: &peerpb.Envelope_Digest{Digest: l.mesh.digest()}})
--- a/entry/peer/mesh.go
+++ b/entry/peer/mesh.go
@@ -201,21 +201,28 @@
 func (m *Mesh) beat() {
 	m.mu.Lock()
 	m.members.Tick(m.Now())
-	m.sequence++
-	sequence := m.sequence
 	silent := m.silent()
 	m.mu.Unlock()
 	m.forget(silent)
-	m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+	m.broadcast(m.heartbeat())
+	for _, l := range m.left() {
+		m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Leaving{Leaving: l}})
+	}
+}
+
+// heartbeat returns the next heartbeat of this entry.
+func (m *Mesh) heartbeat() *peerpb.Envelope {
+	m.mu.Lock()
+	m.sequence++
+	sequence := m.sequence
+	m.mu.Unlock()
+	return &peerpb.Envelope{Version: newestVersion, Body: &peerpb.Envelope_Heartbeat{Heartbeat: &peerpb.Heartbeat{
 		Name:        m.Settings.Name,
 		Incarnation: m.Incarnation,
 		Sequence:    sequence,
 		Revision:    m.Records.Complete(),
 		Leaving:     m.Leaving(),
-	}}})
-	for _, l := range m.left() {
-		m.broadcast(&peerpb.Envelope{Body: &peerpb.Envelope_Leaving{Leaving: l}})
-	}
+	}}}
 }
 
 // silent names the members that are not heard at present; it is called with the lock held.
--- a/entry/peer/version_test.go
+++ b/entry/peer/version_test.go
@@ -17,12 +17,14 @@
 
 	"poplarworks/core/answer"
 	"poplarworks/core/catalog"
+	"poplarworks/core/memberlife"
 	"poplarworks/core/quarantine"
 	"poplarworks/core/record"
 	"poplarworks/entry/common"
 	"poplarworks/entry/dispatch"
 	"poplarworks/entry/peerpb"
 	"poplarworks/entry/settings"
+	"poplarworks/entry/vmlist"
 )
 
 // fakes stand in for the parts that the mesh speaks to.
@@ -44,21 +46,8 @@
 // connect starts a mesh and returns a stream to it.
 func connect(t *testing.T) (net.Conn, *fakes) {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	free, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := netip.MustParseAddrPort(free.Addr().String())
-	_ = free.Close()
-	f := &fakes{crashes: make(chan string, 1)}
-	m := &Mesh{
-		Common: &common.Common{
-			Settings: settings.Settings{Name: "entry-1", PeerAddress: address}, Logger: logger, Metrics: metrics.NewRegistry(),
-		},
-		Records: f, Claims: f, Crashes: f, Services: f, Leaving: func() bool { return false },
-	}
+	m, f := newMesh(t, "entry-1")
+	address := m.Settings.PeerAddress
 	if err := m.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -79,6 +68,70 @@
 	return stream, f
 }
 
+// newMesh returns a mesh that is not started.
+func newMesh(t *testing.T, name string) (*Mesh, *fakes) {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	free, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(free.Addr().String())
+	_ = free.Close()
+	f := &fakes{crashes: make(chan string, 1)}
+	return &Mesh{
+		Common: &common.Common{
+			Settings: settings.Settings{Name: name, PeerAddress: address}, Logger: logger, Metrics: metrics.NewRegistry(),
+		},
+		Records: f, Claims: f, Crashes: f, Services: f, Leaving: func() bool { return false },
+	}, f
+}
+
+// listed is a list of VMs that does not change.
+type listed []vmlist.VM
+
+func (l listed) List(context.Context) ([]vmlist.VM, error) { return l, nil }
+
+// Entries that have just connected know each other at once, instead of at the next heartbeat.
+func TestEntriesKnowEachOtherOnceTheyAreConnected(t *testing.T) {
+	var meshes []*Mesh
+	var vms listed
+	for _, name := range []string{"entry-1", "entry-2", "entry-3"} {
+		m, _ := newMesh(t, name)
+		m.Incarnation = 1
+		meshes = append(meshes, m)
+		vms = append(vms, vmlist.VM{Name: name, Peer: m.Settings.PeerAddress})
+	}
+	for _, m := range meshes {
+		m.VMs = vms
+		if err := m.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, m := range meshes {
+		go m.Run(t.Context())
+	}
+	for end := time.Now().Add(heartbeatInterval / 2); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if alive(meshes) == len(meshes)*(len(meshes)-1) {
+			return
+		}
+	}
+	t.Errorf("got %d members alive within half a heartbeat interval, want %d", alive(meshes), len(meshes)*(len(meshes)-1))
+}
+
+func alive(meshes []*Mesh) int {
+	count := 0
+	for _, m := range meshes {
+		for _, member := range m.Members() {
+			if member.State == memberlife.Alive {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func TestVersions(t *testing.T) {
 	scenarios := []struct {
 		name           string
