--- /dev/null
+++ b/entry/discovery/follow.go
@@ -0,0 +1,112 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"poplarworks/core/configuration"
+	"poplarworks/entry/pause"
+)
+
+func (k *Keeper) followConfiguration(ctx context.Context) {
+	after, known := uint64(0), false
+	retry := backoff{}
+	for ctx.Err() == nil {
+		if k.led() || k.failing.Load() {
+			known = known && !k.led()
+			pause.Sleep(ctx, ledTick)
+			continue
+		}
+		var t *configuration.Text
+		var version uint64
+		var err error
+		if known {
+			t, version, err = k.Source.NextConfiguration(ctx, after, k.WaitConfig)
+		} else {
+			t, version, err = k.Source.Configuration(ctx)
+		}
+		if err != nil {
+			known = known && !errors.Is(err, ErrForgotten)
+			k.failed("configuration", err)
+			k.pause(ctx, &retry)
+			continue
+		}
+		k.answered(&retry)
+		known, after = true, max(after, version)
+		if t != nil {
+			k.Configure(*t)
+		}
+	}
+}
+
+func (k *Keeper) followTargets(ctx context.Context) {
+	retry := backoff{}
+	for ctx.Err() == nil {
+		if k.led() {
+			pause.Sleep(ctx, ledTick)
+			continue
+		}
+		if err := k.lookAtTargets(ctx); err != nil {
+			k.failing.Store(true)
+			k.failed("targets", err)
+			k.pause(ctx, &retry)
+			continue
+		}
+		k.failing.Store(false)
+		k.answered(&retry)
+		pause.Sleep(ctx, k.PollEvery)
+	}
+}
+
+func (k *Keeper) lookAtTargets(ctx context.Context) error {
+	k.mu.Lock()
+	listed, after := k.listed, k.targets.Version()
+	k.mu.Unlock()
+	asked := k.Now()
+	if listed {
+		changes, version, err := k.Source.Changes(ctx, after)
+		if err == nil {
+			k.take(asked, changes, version, false)
+			return nil
+		}
+		if !errors.Is(err, ErrForgotten) {
+			return err
+		}
+		k.Log("discovery").WithField("after", after).Warn("The store has dropped its history; the targets are listed anew.")
+	}
+	listing, version, err := k.Source.Targets(ctx)
+	if err != nil {
+		return err
+	}
+	k.take(asked, listing, version, true)
+	return nil
+}
+
+func (k *Keeper) failed(what string, err error) {
+	k.Counter("discovery.failures").Inc(1)
+	k.Log("discovery").WithError(err).WithField("what", what).Warn("The store cannot be read.")
+}
+
+// backoff spaces repeated attempts.
+type backoff struct {
+	wait time.Duration
+}
+
+func (b *backoff) next() time.Duration {
+	b.wait = min(longestRetry, max(firstRetry, 2*b.wait))
+	return time.Duration(float64(b.wait) * (0.8 + 0.3*rand.Float64()))
+}
+
+// pause waits for the next attempt, or until another call shows that the store answers again.
+func (k *Keeper) pause(ctx context.Context, b *backoff) {
+	failed := k.answers.Load()
+	pause.Unless(ctx, b.next(), holdOffTick, func() bool { return k.answers.Load() != failed })
+}
+
+func (k *Keeper) answered(b *backoff) {
+	b.wait = 0
+	k.answers.Add(1)
+}
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"poplarworks/core/catalog"
 	"poplarworks/core/configuration"
 	"poplarworks/core/news"
@@ -16,6 +13,7 @@
 	"poplarworks/core/registry"
 	"poplarworks/core/service"
 	"poplarworks/entry/common"
+	"poplarworks/entry/pause"
 )
 
 const (
@@ -100,7 +98,7 @@
 	k.targets.ReturnGrace = returnGrace
 	k.mu.Unlock()
 	go k.endGrace(ctx)
-	sleepUnless(ctx, k.HoldOff, func() bool { return k.led() || k.First() })
+	pause.Unless(ctx, k.HoldOff, holdOffTick, func() bool { return k.led() || k.First() })
 	go k.followConfiguration(ctx)
 	k.followTargets(ctx)
 }
@@ -143,80 +141,6 @@
 	}
 }
 
-func (k *Keeper) followConfiguration(ctx context.Context) {
-	after, known := uint64(0), false
-	retry := backoff{}
-	for ctx.Err() == nil {
-		if k.led() || k.failing.Load() {
-			known = known && !k.led()
-			sleep(ctx, ledTick)
-			continue
-		}
-		var t *configuration.Text
-		var version uint64
-		var err error
-		if known {
-			t, version, err = k.Source.NextConfiguration(ctx, after, k.WaitConfig)
-		} else {
-			t, version, err = k.Source.Configuration(ctx)
-		}
-		if err != nil {
-			known = known && !errors.Is(err, ErrForgotten)
-			k.failed("configuration", err)
-			k.pause(ctx, &retry)
-			continue
-		}
-		k.answered(&retry)
-		known, after = true, max(after, version)
-		if t != nil {
-			k.Configure(*t)
-		}
-	}
-}
-
-func (k *Keeper) followTargets(ctx context.Context) {
-	retry := backoff{}
-	for ctx.Err() == nil {
-		if k.led() {
-			sleep(ctx, ledTick)
-			continue
-		}
-		if err := k.lookAtTargets(ctx); err != nil {
-			k.failing.Store(true)
-			k.failed("targets", err)
-			k.pause(ctx, &retry)
-			continue
-		}
-		k.failing.Store(false)
-		k.answered(&retry)
-		sleep(ctx, k.PollEvery)
-	}
-}
-
-func (k *Keeper) lookAtTargets(ctx context.Context) error {
-	k.mu.Lock()
-	listed, after := k.listed, k.targets.Version()
-	k.mu.Unlock()
-	asked := k.Now()
-	if listed {
-		changes, version, err := k.Source.Changes(ctx, after)
-		if err == nil {
-			k.take(asked, changes, version, false)
-			return nil
-		}
-		if !errors.Is(err, ErrForgotten) {
-			return err
-		}
-		k.Log("discovery").WithField("after", after).Warn("The store has dropped its history; the targets are listed anew.")
-	}
-	listing, version, err := k.Source.Targets(ctx)
-	if err != nil {
-		return err
-	}
-	k.take(asked, listing, version, true)
-	return nil
-}
-
 // take puts registrations in force that the store, or a leader, gave as of the time, and tells the followers.
 func (k *Keeper) take(asOf time.Time, changes []registry.Change, version uint64, whole bool) {
 	k.update(func(now time.Time) bool {
@@ -244,11 +168,6 @@
 	}
 }
 
-func (k *Keeper) failed(what string, err error) {
-	k.Counter("discovery.failures").Inc(1)
-	k.Log("discovery").WithError(err).WithField("what", what).Warn("The store cannot be read.")
-}
-
 // Configure puts a configuration in force if it is newer than the one held.
 func (k *Keeper) Configure(t configuration.Text) {
 	k.mu.Lock()
@@ -278,7 +197,7 @@
 // endGrace drops registrations whose grace is over.
 func (k *Keeper) endGrace(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, graceTick)
+		pause.Sleep(ctx, graceTick)
 		k.mu.Lock()
 		expiring := k.targets.Expiring(k.Now().Add(-2 * graceTick))
 		k.mu.Unlock()
@@ -318,40 +237,3 @@
 	}
 	return catalog.Of(records)
 }
-
-// backoff spaces repeated attempts.
-type backoff struct {
-	wait time.Duration
-}
-
-func (b *backoff) next() time.Duration {
-	b.wait = min(longestRetry, max(firstRetry, 2*b.wait))
-	return time.Duration(float64(b.wait) * (0.8 + 0.3*rand.Float64()))
-}
-
-// pause waits for the next attempt, or until another call shows that the store answers again.
-func (k *Keeper) pause(ctx context.Context, b *backoff) {
-	failed := k.answers.Load()
-	sleepUnless(ctx, b.next(), func() bool { return k.answers.Load() != failed })
-}
-
-func (k *Keeper) answered(b *backoff) {
-	b.wait = 0
-	k.answers.Add(1)
-}
-
-// sleepUnless sleeps until the time is up or the condition holds.
-func sleepUnless(ctx context.Context, wait time.Duration, condition func() bool) {
-	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil && !condition(); {
-		sleep(ctx, holdOffTick)
-	}
-}
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/discovery/keeper_test.go
+++ b/entry/discovery/keeper_test.go
@@ -79,8 +79,8 @@
 	return f.text, f.text.Revision, nil
 }
 
-func (f *fakeStore) NextConfiguration(ctx context.Context, after uint64, _ time.Duration) (*configuration.Text, uint64, error) {
-	sleep(ctx, 5*time.Millisecond)
+func (f *fakeStore) NextConfiguration(_ context.Context, after uint64, _ time.Duration) (*configuration.Text, uint64, error) {
+	time.Sleep(5 * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.away {
--- a/entry/news/follower.go
+++ b/entry/news/follower.go
@@ -13,6 +13,7 @@
 	"poplarworks/core/news"
 	"poplarworks/entry/common"
 	"poplarworks/entry/newspb"
+	"poplarworks/entry/pause"
 )
 
 const (
@@ -40,12 +41,7 @@
 				break
 			}
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		pause.Sleep(ctx, wait)
 		if f.Now().Sub(begun) > startTime {
 			wait = min(lookAgain, 2*wait)
 		}
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -10,6 +10,7 @@
 	"poplarworks/core/membership"
 	"poplarworks/core/rank"
 	"poplarworks/entry/common"
+	"poplarworks/entry/pause"
 )
 
 const (
@@ -43,11 +44,11 @@
 	}
 	if !r.enrolled() {
 		r.enrol(ctx)
-		sleep(ctx, settle)
+		pause.Sleep(ctx, settle)
 		r.look(ctx)
 	}
 	for ctx.Err() == nil {
-		sleep(ctx, lookEvery)
+		pause.Sleep(ctx, lookEvery)
 		if r.Reading() {
 			r.look(ctx)
 		}
@@ -66,11 +67,11 @@
 			return
 		}
 		r.Log("roster").WithError(err).Warn("This entry cannot enrol yet.")
-		sleep(ctx, retryEvery)
+		pause.Sleep(ctx, retryEvery)
 	}
 }
 
-// look reads the list, once more if that fails.
+// look reads the list; a list that cannot be read leaves the former one.
 func (r *Roster) look(ctx context.Context) {
 	members, err := r.Store.Members(ctx)
 	if err != nil {
@@ -138,12 +139,3 @@
 	}
 	return leaders
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/entry/roster/roster_test.go
@@ -0,0 +1,131 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"poplarworks/core/membership"
+	"poplarworks/entry/common"
+	"poplarworks/entry/settings"
+)
+
+// fakeStore holds rows, and refuses that many calls first.
+type fakeStore struct {
+	mu      sync.Mutex
+	members map[string]membership.Member
+	refuse  int
+	enrols  int
+}
+
+func (f *fakeStore) Enrol(_ context.Context, m membership.Member) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuse > 0 {
+		f.refuse--
+		return errors.New("busy")
+	}
+	f.enrols++
+	f.members[m.Name] = m
+	return nil
+}
+
+func (f *fakeStore) Members(context.Context) ([]membership.Member, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []membership.Member
+	for _, m := range f.members {
+		list = append(list, m)
+	}
+	return list, nil
+}
+
+func member(n int, dataCentre string) membership.Member {
+	return membership.Member{
+		Name: fmt.Sprintf("entry-%d", n), Peer: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(n)), DataCentre: dataCentre,
+	}
+}
+
+func run(t *testing.T, f *fakeStore, self membership.Member, newFleet bool) *Roster {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	r := &Roster{
+		Common: &common.Common{
+			Settings: settings.Settings{Name: self.Name, DataCentre: self.DataCentre}, Logger: logger, Metrics: metrics.NewRegistry(),
+		},
+		Store: f, Peer: self.Peer, NewFleet: newFleet, Reading: func() bool { return false }, OnChanged: func() {},
+	}
+	go r.Run(t.Context())
+	for end := time.Now().Add(5 * time.Second); r.Size() == 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return r
+}
+
+func TestEntriesEnrolOnce(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		before []membership.Member
+		refuse int
+		want   int // rows written
+	}{
+		{"the first start", nil, 0, 1},
+		{"a store that is busy at first", nil, 1, 1},
+		{"another start at the same address", []membership.Member{member(1, "a")}, 0, 0},
+		{"a start in another data centre", []membership.Member{member(1, "b")}, 0, 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			f := &fakeStore{members: map[string]membership.Member{}, refuse: s.refuse}
+			for _, m := range s.before {
+				f.members[m.Name] = m
+			}
+			r := run(t, f, member(1, "a"), len(s.before) == 0)
+			for end := time.Now().Add(5 * time.Second); !r.enrolled() && time.Now().Before(end); {
+				time.Sleep(5 * time.Millisecond)
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if got := f.members["entry-1"]; got != member(1, "a") {
+				t.Errorf("got row %+v, want this entry's", got)
+			}
+			if f.enrols != s.want {
+				t.Errorf("got %d rows written, want %d", f.enrols, s.want)
+			}
+		})
+	}
+}
+
+// All entries of a data centre agree on the order, and exactly one has no leader.
+func TestOneEntryOfADataCentreComesFirst(t *testing.T) {
+	f := &fakeStore{members: map[string]membership.Member{}}
+	for n := range 6 {
+		m := member(n, []string{"a", "b"}[n%2])
+		f.members[m.Name] = m
+	}
+	first := map[string]int{}
+	for n := range 6 {
+		self := member(n, []string{"a", "b"}[n%2])
+		r := run(t, f, self, false)
+		if r.First() {
+			first[self.DataCentre]++
+		}
+		for _, leader := range r.Leaders() {
+			if int(leader.Port())%2 != n%2 {
+				t.Errorf("%s has a leader of another data centre", self.Name)
+			}
+		}
+	}
+	if first["a"] != 1 || first["b"] != 1 {
+		t.Errorf("got %v entries that come first, want one in each data centre", first)
+	}
+}
