Bound what followers cost a leader: less for those that know the configuration, compressed, over wide links

Entries whose news are stale take no followers now, a follower tries six leaders, says which configuration it has, configurations go compressed, and entries with wide links come first.

--- a/core/membership/members.go
+++ b/core/membership/members.go
@@ -29,6 +29,7 @@
 	Name        string
 	Peer        netip.AddrPort
 	DataCentre  string
+	Bandwidth   int // Mbit/s of its link, if known
 	State       memberlife.State
 	Incarnation uint64
 	Revision    uint64
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -72,6 +72,13 @@
 	return !k.led()
 }
 
+// Known returns the place of the configuration in force in the order of all writes.
+func (k *Keeper) Known() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.text.Revision
+}
+
 // Failing reports whether the store could not be read at the last look.
 func (k *Keeper) Failing() bool {
 	return k.failing.Load()
@@ -110,11 +117,11 @@
 	return !k.toldAt.IsZero() && k.Now().Sub(k.toldAt) < k.Patience
 }
 
-// Whole returns all that is known, for a new follower.
+// Whole returns all that is known, for a new follower, unless it is so old that a follower could not use it.
 func (k *Keeper) Whole() (news.News, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.config == nil || !k.listed {
+	if k.config == nil || !k.listed || k.Now().Sub(k.heardAt) >= k.Patience {
 		return news.News{}, false
 	}
 	return news.News{
--- a/entry/discovery/keeper_test.go
+++ b/entry/discovery/keeper_test.go
@@ -234,3 +234,18 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// While the store is away every entry looks for a leader; answering each with all there is would cost more than serving.
+func TestAnEntryWithStaleNewsTakesNoFollowers(t *testing.T) {
+	f := newFake()
+	k := start(t, f)
+	await(t, k, "one a b")
+	if _, ok := k.Whole(); !ok {
+		t.Error("while the store answers: got no news for a follower, want some")
+	}
+	f.with(func() { f.away = true })
+	time.Sleep(2 * k.Patience)
+	if _, ok := k.Whole(); ok {
+		t.Error("after the store has been away: got news for a follower, want none")
+	}
+}
--- a/entry/news/codec.go
+++ b/entry/news/codec.go
@@ -1,6 +1,9 @@
 package news
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"net/netip"
 	"time"
 
@@ -16,7 +19,7 @@
 		Whole:         n.Whole,
 		Version:       n.Version,
 		AgeMs:         uint32(n.Age.Milliseconds()),
-		Configuration: n.Configuration,
+		Configuration: compress(n.Configuration),
 		Revision:      n.Revision,
 	}
 	for _, c := range n.Registrations {
@@ -34,12 +37,43 @@
 	return wire
 }
 
+// compress makes a configuration of thousands of rules fit through a narrow link to many followers.
+func compress(text []byte) []byte {
+	if text == nil {
+		return nil
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil // the level is a valid one
+	}
+	if _, err := w.Write(text); err != nil {
+		return nil // a buffer takes everything
+	}
+	if err := w.Close(); err != nil {
+		return nil
+	}
+	return out.Bytes()
+}
+
+func decompress(data []byte) ([]byte, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxMessage))
+	return text, errors.Wrap(err, "configuration")
+}
+
 func fromWire(wire *newspb.News) (news.News, error) {
+	text, err := decompress(wire.GetConfiguration())
+	if err != nil {
+		return news.News{}, err
+	}
 	n := news.News{
 		Whole:         wire.GetWhole(),
 		Version:       wire.GetVersion(),
 		Age:           time.Duration(wire.GetAgeMs()) * time.Millisecond,
-		Configuration: wire.GetConfiguration(),
+		Configuration: text,
 		Revision:      wire.GetRevision(),
 	}
 	for _, r := range wire.GetRegistrations() {
--- a/entry/news/follower.go
+++ b/entry/news/follower.go
@@ -20,6 +20,7 @@
 	dialTimeout = 250 * time.Millisecond // a VM of the same data centre answers within a millisecond
 	lookAgain   = 2 * time.Second        // between attempts to follow while this entry reads the store itself
 	firstLook   = 100 * time.Millisecond
+	mostTried   = 6               // leaders tried in a row; while the store is away none of them has fresh news
 	startTime   = 3 * time.Second // in which leaders may still be starting, too
 )
 
@@ -29,13 +30,15 @@
 	Leaders  func() []netip.AddrPort // the entries that come before this one, in order
 	Patience time.Duration           // longest time that the word of a leader may be behind the store
 	Receive  func(n news.News)
+	Known    func() uint64 // revision of the configuration that this entry has
 }
 
 // Run follows the first leader that has fresh news, until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	wait, begun := firstLook, f.Now()
 	for ctx.Err() == nil {
-		for _, leader := range f.Leaders() {
+		leaders := f.Leaders()
+		for _, leader := range leaders[:min(mostTried, len(leaders))] {
 			if f.follow(ctx, leader) {
 				wait = firstLook
 				break
@@ -67,8 +70,9 @@
 	if err != nil {
 		return false
 	}
+	follow := &newspb.Follow{Name: f.Settings.Name, Incarnation: f.Incarnation, Revision: f.Known()}
 	_ = stream.SetDeadline(f.Now().Add(f.Patience)) // fails only on a closed stream, as does the write
-	if _, err := protodelim.MarshalTo(stream, &newspb.Follow{Name: f.Settings.Name, Incarnation: f.Incarnation}); err != nil {
+	if _, err := protodelim.MarshalTo(stream, follow); err != nil {
 		return false
 	}
 	heard, reason := f.listen(leader, stream)
--- a/entry/news/news_test.go
+++ b/entry/news/news_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -55,6 +56,20 @@
 	}
 }
 
+// A configuration of thousands of rules must fit through a link of 10 Mbit/s to forty followers within two seconds.
+func TestALargeConfigurationIsSmallOnTheWire(t *testing.T) {
+	var text []byte
+	for i := range 2000 {
+		text = fmt.Appendf(text, `{"resourceKind":"routes","metadata":{"name":"r-%x"},"spec":{"hostname":"h%x.example","prefix":"/%x/",
+			"kind":"safe","timeoutMs":1200,"targetLatencyMs":300,"priority":2,"service":"huvo11a","maxAttempts":2}},`, i*7919, i%7, i*104729)
+	}
+	const linkBytes, followers, bound = 10e6 / 8, 40, 2 * time.Second
+	wire := toWire(news.News{Configuration: text, Revision: 1})
+	if took := time.Duration(float64(followers*len(wire.GetConfiguration())) / linkBytes * float64(time.Second)); took > bound {
+		t.Errorf("got %s for %d bytes, want at most %s", took, len(wire.GetConfiguration()), bound)
+	}
+}
+
 func TestNewsWithABadAddressAreRefused(t *testing.T) {
 	wire := toWire(sample(5, 0))
 	wire.Registrations[0].Address = "nowhere"
@@ -89,6 +104,7 @@
 				Common: testCommon(), Patience: 300 * time.Millisecond,
 				Leaders: func() []netip.AddrPort { return leaders },
 				Receive: func(n news.News) { received <- n },
+				Known:   func() uint64 { return 0 },
 			}
 			go f.Run(ctx)
 			select {
--- a/entry/news/publisher.go
+++ b/entry/news/publisher.go
@@ -72,6 +72,9 @@
 		return
 	}
 	p.Log("news").WithField("follower", follow.GetName()).Info("An entry follows this one.")
+	if follow.GetRevision() >= whole.Revision {
+		whole.Configuration = nil
+	}
 	p.tell(session, stream, queue, toWire(whole))
 	p.Log("news").WithField("follower", follow.GetName()).Info("An entry no longer follows this one.")
 }
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -29,6 +29,7 @@
 	*common.Common
 	Store     store
 	Peer      netip.AddrPort // where this entry can be followed
+	Bandwidth int            // Mbit/s of this entry's link; those with wide links read for the others
 	NewFleet  bool           // all entries start for the first time
 	Reading   func() bool    // whether this entry reads the store anyhow
 	OnChanged func()         // called when the list has changed
@@ -56,7 +57,7 @@
 }
 
 func (r *Roster) self() membership.Member {
-	return membership.Member{Name: r.Settings.Name, Peer: r.Peer, DataCentre: r.Settings.DataCentre}
+	return membership.Member{Name: r.Settings.Name, Peer: r.Peer, DataCentre: r.Settings.DataCentre, Bandwidth: r.Bandwidth}
 }
 
 func (r *Roster) enrol(ctx context.Context) {
@@ -92,7 +93,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return slices.ContainsFunc(r.members, func(m membership.Member) bool {
-		return m.Name == r.Settings.Name && m.Peer == r.Peer && m.DataCentre == r.Settings.DataCentre
+		return m.Name == r.Settings.Name && m.Peer == r.Peer && m.DataCentre == r.Settings.DataCentre && m.Bandwidth == r.Bandwidth
 	})
 }
 
@@ -119,19 +120,21 @@
 func (r *Roster) Leaders() []netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	peers := map[string]netip.AddrPort{}
+	peers, bandwidth := map[string]netip.AddrPort{}, map[string]int{r.Settings.Name: r.Bandwidth}
 	names := []string{r.Settings.Name}
 	for _, m := range r.members {
 		if m.DataCentre == r.Settings.DataCentre && m.Name != r.Settings.Name {
-			peers[m.Name] = m.Peer
+			peers[m.Name], bandwidth[m.Name] = m.Peer, m.Bandwidth
 			names = append(names, m.Name)
 		}
 	}
 	if len(r.members) == 0 {
 		return nil
 	}
+	ordered := rank.Order(r.Settings.DataCentre, names)
+	slices.SortStableFunc(ordered, func(x, y string) int { return bandwidth[y] - bandwidth[x] })
 	var leaders []netip.AddrPort
-	for _, name := range rank.Order(r.Settings.DataCentre, names) {
+	for _, name := range ordered {
 		if name == r.Settings.Name {
 			break
 		}
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -129,3 +129,19 @@
 		t.Errorf("got %v entries that come first, want one in each data centre", first)
 	}
 }
+
+func TestWideLinksComeFirst(t *testing.T) {
+	f := &fakeStore{members: map[string]membership.Member{}}
+	for n := range 5 {
+		m := member(n, "a")
+		m.Bandwidth = 10
+		if n == 3 {
+			m.Bandwidth = 200
+		}
+		f.members[m.Name] = m
+	}
+	r := run(t, f, member(9, "a"), false)
+	if got := r.Leaders(); len(got) != 5 || got[0] != member(3, "a").Peer {
+		t.Errorf("got leaders %v, want entry-3 first of five", got)
+	}
+}
