--- a/Makefile
+++ b/Makefile
@@ -14,4 +14,4 @@
 	./examples/run.sh registry
 
 test:
-	go test -race -timeout 12m $(addprefix ./,$(addsuffix /...,$(MODULES)))
+	go test -race -count=1 -timeout 12m $(addprefix ./,$(addsuffix /...,$(MODULES)))
