Kill the holder of a claim in every randomised run, so that the mutant is always noticed

Change: each run kills the holder of a claim while its target is at work, before the random faults begin, and again as one of them.

--- a/measure/chaos/callers.go
+++ b/measure/chaos/callers.go
@@ -30,8 +30,12 @@
 	count  int
 }
 
+func (r *Run) newCaller(name string, random *rand.Rand) *caller {
+	return &caller{run: r, random: random, name: name, client: &http.Client{Transport: &http.Transport{}}}
+}
+
 func (r *Run) call(ctx context.Context, random *rand.Rand, i int) {
-	c := &caller{run: r, random: random, name: fmt.Sprintf("caller-%d", i), client: &http.Client{Transport: &http.Transport{}}}
+	c := r.newCaller(fmt.Sprintf("caller-%d", i), random)
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		c.count++
@@ -64,15 +68,19 @@
 }
 
 func (c *caller) send(method, path, key string, timeout time.Duration, patience time.Duration) received {
+	return c.sendTo(c.entry(), method, path, key, min(timeout, patience))
+}
+
+func (c *caller) sendTo(entry *fleet.Entry, method, path, key string, timeout time.Duration) received {
 	token := c.token()
 	got := received{send: send{key: key, token: token, begun: time.Now()}}
 	defer func() {
 		got.ended = time.Now()
 		c.run.history.addSend(got.send)
 	}()
-	ctx, cancel := context.WithTimeout(context.Background(), min(timeout, patience))
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, c.entry().CallerURL+path, strings.NewReader(key))
+	request, err := http.NewRequestWithContext(ctx, method, entry.CallerURL+path, strings.NewReader(key))
 	if err != nil {
 		got.err = err
 		return got
--- a/measure/chaos/faults.go
+++ b/measure/chaos/faults.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -10,6 +12,8 @@
 	"poplarworks/measure/trouble"
 )
 
+const holderWork = 400 * time.Millisecond // long enough for the target to have begun when the holder of the claim is killed
+
 // faults keeps two injectors from working on the same thing at once.
 type faults struct {
 	mu   sync.Mutex
@@ -39,7 +43,7 @@
 func (r *Run) inject(ctx context.Context, random *rand.Rand) {
 	kinds := []func(context.Context, *rand.Rand){
 		r.killEntry, r.killEntry, r.pauseEntry, r.pauseEntry, r.breakPeers, r.breakPeers, r.breakStoreLink,
-		r.breakPlatform, r.breakPlatform, r.breakTarget, r.breakTarget, r.crashTarget,
+		r.breakPlatform, r.breakPlatform, r.breakTarget, r.breakTarget, r.crashTarget, r.killHolder,
 	}
 	for ctx.Err() == nil {
 		kinds[random.IntN(len(kinds))](ctx, random)
@@ -74,6 +78,31 @@
 	}
 }
 
+// killHolder kills the entry that holds a claim while the target is at work, and sends the key again to another entry.
+func (r *Run) killHolder(ctx context.Context, random *rand.Rand) {
+	at := random.IntN(len(r.fleet.Entries))
+	holder, other := r.fleet.Entries[at], r.fleet.Entries[(at+1)%len(r.fleet.Entries)]
+	if !r.faults.take(holder) {
+		return
+	}
+	defer r.faults.give(holder)
+	r.history.count("holders of a claim killed")
+	c := r.newCaller(fmt.Sprintf("holder-%d", random.Uint64()), random)
+	defer c.client.CloseIdleConnections()
+	key, path := c.name+"-fee", fmt.Sprintf("/fees/1?work=%s", holderWork)
+	first := r.newCaller(c.name+"-first", random)
+	defer first.client.CloseIdleConnections()
+	var sent sync.WaitGroup
+	sent.Go(func() { first.sendTo(holder, http.MethodPost, path, key, callTimeout) })
+	wait(ctx, holderWork/2)
+	holder.Kill()
+	c.sendTo(other, http.MethodPost, path, key, callTimeout)
+	sent.Wait()
+	if err := holder.Start(); err != nil {
+		r.history.addWrong("an entry did not start: " + err.Error())
+	}
+}
+
 // pauseEntry stops an entry, at times for longer than any lease or time-out.
 func (r *Run) pauseEntry(ctx context.Context, random *rand.Rand) {
 	e := r.fleet.Entries[random.IntN(len(r.fleet.Entries))]
--- a/measure/chaos/run.go
+++ b/measure/chaos/run.go
@@ -107,6 +107,8 @@
 	}
 	group.Go(func() { r.plan(bounded, rand.New(rand.NewPCG(r.Seed, 300))) })
 	group.Go(func() { r.drain(bounded, rand.New(rand.NewPCG(r.Seed, 301))) })
+	// Every run has this fault at least once, before others can hide it.
+	r.killHolder(bounded, rand.New(rand.NewPCG(r.Seed, 302)))
 	for i := range 2 {
 		random := rand.New(rand.NewPCG(r.Seed, uint64(400+i)))
 		group.Go(func() { r.inject(bounded, random) })
--- a/measure/integration/chaos_test.go
+++ b/measure/integration/chaos_test.go
@@ -28,17 +28,17 @@
 	}
 }
 
-// TestTheRandomisedRunNoticesABrokenClaim shows that the checks can fail: the mutant lets claims lapse.
+// TestTheRandomisedRunNoticesABrokenClaim shows that the checks can fail: the mutant lets claims lapse, and every run kills the
+// holder of a claim at least once.
 func TestTheRandomisedRunNoticesABrokenClaim(t *testing.T) {
-	for seed := range uint64(4) {
-		run := &chaos.Run{Seed: 10 + seed, Duration: 10 * time.Second, Entries: 5, Tags: "mutant", Out: os.Stdout}
+	for _, seed := range []uint64{10, 11} {
+		run := &chaos.Run{Seed: seed, Duration: 5 * time.Second, Entries: 5, Tags: "mutant", Out: os.Stdout}
 		report, err := run.Do(context.Background())
 		if err != nil {
 			t.Fatal(err)
 		}
-		if len(report.Breaches) > 0 {
-			return
+		if len(report.Breaches) == 0 {
+			t.Errorf("seed %d: got no breach with claims that lapse, want some", seed)
 		}
 	}
-	t.Error("got no breach with claims that lapse, want some")
 }
