Start no work at a target that is slow for a moment; let nothing wait at targets

Cause: at nimro's crests the fee service gave 36 answers a second where its slots could give 58. Requests that would be late took those slots and held them for 700 ms, while the noise lasts 150 ms. Ruled out: slots that stay empty (2.2 of 2 useful ones were taken), too few questions, and the way of the queue. Change: a slot is left empty while its target is much slower than it was within the last second (core/interference); a target that stays slow takes late requests as before. No request waits at a target any more, since it would start in whatever moment comes. A report holds for 40 ms instead of 100.

--- a/core/balancer/ask.go
+++ b/core/balancer/ask.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	reportUseful = 100 * time.Millisecond // after which a report of slowness says little: it shifts about as often
-	confirmedFor = 30 * time.Millisecond  // for which a report shows that a doubtful target still takes work
-	avoidSlow    = 2.0                    // reported slowdown above which a target is not asked again while the report is useful
-	coldFactor   = 2.0                    // how much slower a target works while it is cold
-	farPenalty   = 3.0                    // cost of a large answer's way between data centres, in times of an idle target's answer
-	errorCost    = 8.0                    // cost of a target whose every attempt fails, in addition, as a multiple
-	busyCost     = 0.1                    // breaks ties between targets with free slots
+	reportUseful = 40 * time.Millisecond // after which a report says little: slowness shifts several times as often as requests end
+	confirmedFor = 30 * time.Millisecond // for which a report shows that a doubtful target still takes work
+	avoidSlow    = 2.0                   // reported slowdown above which a target is not asked again while the report is useful
+	coldFactor   = 2.0                   // how much slower a target works while it is cold
+	farPenalty   = 3.0                   // cost of a large answer's way between data centres, in times of an idle target's answer
+	errorCost    = 8.0                   // cost of a target whose every attempt fails, in addition, as a multiple
+	busyCost     = 0.1                   // breaks ties between targets with free slots
 )
 
 // reported takes a load report.
@@ -25,6 +25,7 @@
 	t.load.Report(now, r.InFlight())
 	if r.Slots > 0 {
 		t.report, t.reportAt, t.sentSince = r, now, 0
+		t.floor.Report(now, t.slowdown())
 		if t.crowding != nil {
 			t.crowding.reportedAt = now
 		}
--- a/core/balancer/room.go
+++ b/core/balancer/room.go
@@ -10,22 +10,21 @@
 )
 
 const (
-	aheadShare  = 1.0 / 3                // of a target's slots, for requests that wait there so that a slot that comes free finds work
 	blindAfter  = 250 * time.Millisecond // without a report of any target, choices are made without them
 	giveUpShare = 0.35                   // of its time, after which a request that still waits is refused while its caller can try again
 )
 
-// room reports whether the target has a free slot, or a short queue, by its last report and what was sent since. Without a
-// useful report it has none, unless no target of the service reports anything.
+// room reports whether the target has a free slot that is worth filling, by its last report and what was sent since. A slot
+// is left empty while its target is slow for a moment, since work that starts then stays slow and holds the slot for much
+// longer than that moment. Without a useful report there is no room, unless no target of the service reports anything.
 func (t *target) room(now time.Time) bool {
 	if t.report.Slots == 0 || now.Sub(t.reportAt) >= reportUseful {
 		return now.Sub(t.crowding.reportedAt) > blindAfter && float64(t.load.Own()) < t.slots
 	}
-	held := float64(t.report.InFlight() + t.sentSince)
-	if useful := t.crowding.useful(t.slots); useful < t.slots {
-		return held < useful
+	if t.floor.Passing(t.slowdown()) {
+		return false
 	}
-	return held < t.slots*(1+aheadShare)
+	return float64(t.report.InFlight()+t.sentSince) < t.crowding.useful(t.slots)
 }
 
 // aim returns until when an answer to the request has its full worth. Callers count from their first attempt, of which the
--- a/core/balancer/target.go
+++ b/core/balancer/target.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"poplarworks/core/interference"
 	"poplarworks/core/lifecycle"
 	"poplarworks/core/limiter"
 	"poplarworks/core/load"
@@ -44,6 +45,7 @@
 	reportAt  time.Time
 	sentSince int       // requests sent since the report
 	crowding  *crowding // of the service
+	floor     interference.Floor
 	machine   lifecycle.Machine
 	load      load.Estimate
 	score     slowness.Score
