While requests wait too long to be in time, serve the newest first over all callers

Cause: a queue turned to newest-first only after a quarter of the deadline (300 ms), when what waits for a lookup's 300 ms is late already; and newest-first held within one caller only, of whom most have one request, so that the queue was in effect oldest-first at every crest. Change: the time that an item can wait ends when its answer loses worth; a standing queue takes the newest item over all callers, those with few items first, so that a caller that floods goes last.

--- a/core/balancer/room.go
+++ b/core/balancer/room.go
@@ -33,6 +33,14 @@
 	return r.Arrived.Add(r.Rule.Objective - max(0, s.longest-r.Left))
 }
 
+// startBy returns until when the request must be sent for full worth, or zero if that is not to be had.
+func (b *Balancer) startBy(now time.Time, r request.Request, state *ruleState) time.Time {
+	if b.service.Asked == 0 || r.Rule.Objective == 0 || state.late(now, r) {
+		return time.Time{}
+	}
+	return state.aim(r).Add(-state.idleTime())
+}
+
 // late reports whether the request can no longer have an answer of full worth.
 func (s *ruleState) late(now time.Time, r request.Request) bool {
 	return r.Rule.Objective > 0 && now.Add(s.idleTime()).After(s.aim(r))
--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -55,6 +55,7 @@
 		Arrived:  now,
 		Deadline: r.Deadline,
 		Need:     need,
+		StartBy:  b.startBy(now, r, state),
 	})
 	b.waiting[r.ID] = r
 	return decision.Decision{ID: r.ID, Kind: decision.Wait}
--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -15,6 +15,15 @@
 	Arrived  time.Time
 	Deadline time.Time
 	Need     time.Duration // time that the request will probably take once it is sent
+	StartBy  time.Time     // after which its answer loses worth; zero if it does not
+}
+
+// patience is the time that the item can wait at most.
+func (i Item) patience() time.Duration {
+	if i.StartBy.IsZero() {
+		return i.Deadline.Sub(i.Arrived)
+	}
+	return i.StartBy.Sub(i.Arrived)
 }
 
 // late reports whether the item can no longer be answered in time.
@@ -22,10 +31,10 @@
 	return now.Add(i.Need).After(i.Deadline)
 }
 
-// Queue serves higher priorities first, flows in turn, and within a flow the oldest first or, while a queue stands, the
-// newest first.
+// Queue serves higher priorities first, flows in turn, and within a flow the oldest first. While a queue stands, the newest
+// go first, and flows with few items before those with many.
 type Queue struct {
-	Target   float64       // share of its time to the deadline that an item may wait
+	Target   float64       // share of the time that it can wait at most which an item may wait
 	Interval time.Duration // longer waits for this long mean that the queue stands
 
 	levels   [levels]level
@@ -100,28 +109,43 @@
 		if len(l.flows) == 0 {
 			continue
 		}
-		items := l.flows[l.next%len(l.flows)].items
-		if q.standing {
-			return items[len(items)-1], true
-		}
-		return items[0], true
+		flow, place := l.choose(q.standing)
+		return l.flows[flow].items[place], true
 	}
 	return Item{}, false
 }
 
-func (l *level) pop(newest bool) Item {
-	l.next %= len(l.flows)
-	f := l.flows[l.next]
-	place := 0
-	if newest {
-		place = len(f.items) - 1
+// choose returns the places of the next flow and of its next item.
+func (l *level) choose(newest bool) (flow, place int) {
+	if !newest {
+		return l.next % len(l.flows), 0
+	}
+	for i, f := range l.flows {
+		best := l.flows[flow]
+		if len(f.items) < len(best.items) || len(f.items) == len(best.items) && f.last().Arrived.After(best.last().Arrived) {
+			flow = i
+		}
 	}
+	return flow, len(l.flows[flow].items) - 1
+}
+
+func (f *flow) last() Item {
+	return f.items[len(f.items)-1]
+}
+
+func (l *level) pop(newest bool) Item {
+	chosen, place := l.choose(newest)
+	f := l.flows[chosen]
 	item := f.items[place]
 	f.items = slices.Delete(f.items, place, place+1)
+	if !newest {
+		l.next = chosen + 1
+	}
 	if len(f.items) == 0 {
-		l.flows = slices.Delete(l.flows, l.next, l.next+1)
-	} else {
-		l.next++
+		l.flows = slices.Delete(l.flows, chosen, chosen+1)
+		if l.next > chosen {
+			l.next--
+		}
 	}
 	return item
 }
@@ -142,7 +166,7 @@
 	for p := range q.levels {
 		for _, f := range q.levels[p].flows {
 			first := f.items[0]
-			if float64(now.Sub(first.Arrived)) > q.Target*float64(first.Deadline.Sub(first.Arrived)) {
+			if float64(now.Sub(first.Arrived)) > q.Target*float64(first.patience()) {
 				return true
 			}
 		}
--- a/core/fairqueue/queue_test.go
+++ b/core/fairqueue/queue_test.go
@@ -71,6 +71,46 @@
 	}
 }
 
+// Replays a crest with many callers, one of which sends far more than the others.
+func TestAStandingQueueServesTheNewestCallerFirstAndAFloodLast(t *testing.T) {
+	q := queue()
+	at := func(id uint64, flow string, after time.Duration) Item {
+		i := item(id, flow, 0)
+		i.Arrived = start().Add(after)
+		return i
+	}
+	q.Push(at(1, "a", 0))
+	q.Push(at(2, "b", 10*time.Millisecond))
+	for id := uint64(10); id < 14; id++ {
+		q.Push(at(id, "flood", 40*time.Millisecond))
+	}
+	q.Push(at(3, "c", 20*time.Millisecond))
+	q.Expire(start().Add(300 * time.Millisecond))
+	q.Expire(start().Add(450 * time.Millisecond))
+	want := []uint64{3, 2, 1, 13, 12, 11, 10}
+	var got []uint64
+	for q.Len() > 0 {
+		next, _ := q.Take()
+		got = append(got, next.ID)
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// What is in time for 200 ms only must not wait until a quarter of its deadline has passed before the newest go first.
+func TestAQueueStandsByTheTimeThatItsItemsCanWait(t *testing.T) {
+	q := queue()
+	i := item(1, "a", 0)
+	i.StartBy = i.Arrived.Add(200 * time.Millisecond)
+	q.Push(i)
+	q.Expire(start().Add(60 * time.Millisecond))
+	q.Expire(start().Add(170 * time.Millisecond))
+	if !q.Standing() {
+		t.Error("got not standing after 170 of 200 ms, want standing")
+	}
+}
+
 func TestItemsThatWouldBeLateExpire(t *testing.T) {
 	q := queue()
 	long := item(1, "a", 0)
