--- a/core/balancer/ask.go
+++ b/core/balancer/ask.go
@@ -15,7 +15,8 @@
 	confirmedFor = 30 * time.Millisecond // for which a report shows that a doubtful target still takes work
 	avoidSlow    = 2.0                   // reported slowdown above which a target is not asked again while the report is useful
 	coldFactor   = 2.0                   // how much slower a target works while it is cold
-	farPenalty   = 3.0                   // cost of a large answer's way between data centres, in times of an idle target's answer
+	crossPenalty = 0.15                  // cost of a small answer's way between data centres, in times of an idle target's answer: more than busyCost
+	farPenalty   = 3.0                   // cost of a large answer's way
 	errorCost    = 8.0                   // cost of a target whose every attempt fails, in addition, as a multiple
 	busyCost     = 0.1                   // breaks ties between targets with free slots
 )
@@ -67,8 +68,10 @@
 // Candidates draws up to that many targets that are to be asked for their load before the request is submitted. A target that has
 // just reported that it is slow is left out while others can be drawn.
 func (b *Balancer) Candidates(now time.Time, r request.Request, most int) []service.Target {
-	near, far := b.draw(now, r, most)
-	order := append(near, far...)
+	if most <= 0 {
+		return nil
+	}
+	order := b.draw(now, r, most)
 	slices.SortStableFunc(order, func(x, y *target) int { return int(x.unlikely(now)) - int(y.unlikely(now)) })
 	drawn := make([]service.Target, 0, most)
 	for _, t := range order[:min(most, len(order))] {
@@ -77,16 +80,23 @@
 	return drawn
 }
 
-// draw returns the open targets in random order; for a large answer those of this data centre come first. It leaves the
-// subset only if that has too few.
-func (b *Balancer) draw(now time.Time, r request.Request, most int) (near, far []*target) {
-	near, far = b.drawFrom(b.subset, now, r)
+// draw returns the open targets in random order, but for those of this data centre that come first: all of them for a large
+// answer, and else as many as leave one place to any other. It leaves the subset only if that has too few.
+func (b *Balancer) draw(now time.Time, r request.Request, most int) []*target {
+	near, far := b.drawFrom(b.subset, now, r)
 	if len(near)+len(far) < most && len(b.subset) < len(b.targets) {
-		return b.drawFrom(b.targets, now, r)
+		near, far = b.drawFrom(b.targets, now, r)
 	}
-	return near, far
+	if r.Rule.Large {
+		return append(near, far...)
+	}
+	first := min(len(near), most-1)
+	rest := append(far, near[first:]...)
+	b.Random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return append(near[:first:first], rest...)
 }
 
+// drawFrom returns the open targets of this data centre and of others, each in random order.
 func (b *Balancer) drawFrom(targets []*target, now time.Time, r request.Request) (near, far []*target) {
 	panicking := b.census.panicking()
 	for _, i := range b.Random.Perm(len(targets)) {
@@ -94,11 +104,11 @@
 		if !t.open(now, panicking) && !t.doubtful() || slices.Contains(r.Tried, t.record.Name) {
 			continue
 		}
-		if r.Rule.Large && t.record.DataCentre != b.Home {
+		if t.record.DataCentre == b.Home {
+			near = append(near, t)
+		} else {
 			far = append(far, t)
-			continue
 		}
-		near = append(near, t)
 	}
 	return near, far
 }
@@ -119,6 +129,18 @@
 	return 0
 }
 
+// crossing is the cost of the way of an answer from that target to this entry.
+func (b *Balancer) crossing(t *target, large bool) float64 {
+	switch {
+	case t.record.DataCentre == b.Home:
+		return 0
+	case large:
+		return farPenalty
+	default:
+		return crossPenalty
+	}
+}
+
 // Unreachable notes that a target did not answer when it was asked for its load.
 func (b *Balancer) Unreachable(now time.Time, name string) {
 	if i, ok := b.byName[name]; ok {
--- a/core/balancer/ask_test.go
+++ b/core/balancer/ask_test.go
@@ -210,6 +210,46 @@
 	}
 }
 
+// A crossing costs; a large answer's costs so much that its own data centre is asked alone while it can.
+func TestTargetsOfThisDataCentreAreAskedFirst(t *testing.T) {
+	scenarios := []struct {
+		name     string
+		most     int
+		large    bool
+		wantNear int // at least
+	}{
+		{"nothing may be asked", 0, false, 0},
+		{"one", 1, false, 0},
+		{"all but one", 3, false, 2},
+		{"a large answer", 3, true, 3},
+		{"more than there are", 40, false, 4},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			d := askedDriver(t, 12, func(s *service.Service) {
+				for i := range s.Targets {
+					s.Targets[i].DataCentre = fmt.Sprintf("dc%d", i%3)
+				}
+			})
+			d.Home = "dc1"
+			large := d.rule
+			large.Large = s.large
+			for range 50 {
+				drawn := d.Candidates(d.now, request.Request{Rule: &large}, s.most)
+				near := 0
+				for _, target := range drawn {
+					if target.DataCentre == d.Home {
+						near++
+					}
+				}
+				if want := min(s.most, 12); len(drawn) != want || near < s.wantNear {
+					t.Fatalf("got %d targets, %d of them near; want %d, at least %d near", len(drawn), near, want, s.wantNear)
+				}
+			}
+		})
+	}
+}
+
 func TestADoubtfulTargetNeedsAFreshWord(t *testing.T) {
 	d := askedDriver(t, 1, func(s *service.Service) { s.Targets[0].Doubtful = true })
 	d.reportAll(report.Report{Slots: 3, Slowdown: 1})
--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -113,7 +113,7 @@
 }
 
 func (b *Balancer) view(now time.Time, r request.Request, long bool) *view {
-	b.scratch = view{b: b, now: now, request: r, long: long, large: r.Rule.Large, panic: b.census.panicking(), tried: r.Tried}
+	b.scratch = view{b: b, now: now, request: r, long: long, panic: b.census.panicking()}
 	return &b.scratch
 }
 
--- a/core/balancer/view.go
+++ b/core/balancer/view.go
@@ -15,8 +15,6 @@
 	state   *ruleState // of the request's rule; nil if any open target will do
 	long    bool
 	panic   bool
-	large   bool // the answer is too large to cross data centres for little
-	tried   []string
 }
 
 // Len returns the number of targets.
@@ -25,7 +23,7 @@
 // Open reports whether the target takes new work from this request.
 func (v *view) Open(i int) bool {
 	t := v.b.targets[i]
-	return t.open(v.now, v.panic) && !slices.Contains(v.tried, t.record.Name)
+	return t.open(v.now, v.panic) && !slices.Contains(v.request.Tried, t.record.Name)
 }
 
 // Eligible reports whether the target is also below every limit.
@@ -46,11 +44,7 @@
 // Cost returns the expected time to an answer.
 func (v *view) Cost(i int) float64 {
 	t := v.b.targets[i]
-	cost := t.cost(v.now)
-	if v.large && t.record.DataCentre != v.b.Home {
-		cost += farPenalty
-	}
-	return cost
+	return t.cost(v.now) + v.b.crossing(t, v.request.Rule.Large)
 }
 
 // ReportAge returns how old the newest load report is.
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -65,8 +65,10 @@
 	Forgive(fingerprint quarantine.Fingerprint)
 }
 
-// drainingRetry spaces a refused caller's next attempt, which goes to another entry.
-const drainingRetry = 50 * time.Millisecond
+const (
+	drainingRetry = 50 * time.Millisecond  // spaces a refused caller's next attempt, which goes to another entry
+	notReadyRetry = 150 * time.Millisecond // an entry that has started usually knows its records within this time
+)
 
 // Handler serves callers; its exported fields are set before use.
 type Handler struct {
@@ -126,7 +128,7 @@
 		return &refusal.Refusal{Code: code.Draining, Run: code.NotRun, RetryAfter: drainingRetry}
 	}
 	if !h.Ready() {
-		return &refusal.Refusal{Code: code.NotReady, Run: code.NotRun, RetryAfter: time.Second}
+		return &refusal.Refusal{Code: code.NotReady, Run: code.NotRun, RetryAfter: notReadyRetry}
 	}
 	return nil
 }
