Space the calls for new configurations, so that a run of changes costs few of them

Of these 2,700 came between 18 and 26 s: the store had been away, every entry read it itself, and the operator's 25 writes of a storm were then answered one by one to 122 waiting calls (seen in the logs of edge-lisboa-a-10 and d-29). Ruled out: the retries during the outage, 874 calls.

--- a/entry/discovery/follow.go
+++ b/entry/discovery/follow.go
@@ -38,6 +38,7 @@
 		known, after = true, max(after, version)
 		if t != nil {
 			k.Configure(*t)
+			pause.Sleep(ctx, k.PauseAfter)
 		}
 	}
 }
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -32,6 +32,7 @@
 	Source     Source
 	PollEvery  time.Duration // between looks at the targets
 	WaitConfig time.Duration // for which one call waits for a new configuration
+	PauseAfter time.Duration // between a new configuration and the next call, so that a run of changes takes few calls
 	Patience   time.Duration // longest time that the word of a leader may be behind the store
 	HoldOff    time.Duration // at the start, in which a leader may make reading needless
 	First      func() bool   // whether this entry is known to have no leader
--- a/entry/discovery/keeper_test.go
+++ b/entry/discovery/keeper_test.go
@@ -32,6 +32,7 @@
 	forgotten bool
 	calls     int
 	listings  int
+	found     int // calls that returned a new configuration
 }
 
 func (f *fakeStore) with(change func()) {
@@ -89,6 +90,7 @@
 	if f.text.Revision <= after {
 		return nil, after, nil
 	}
+	f.found++
 	return f.text, f.text.Revision, nil
 }
 
@@ -110,7 +112,7 @@
 	}, nil
 }
 
-func start(t *testing.T, f *fakeStore) *Keeper {
+func start(t *testing.T, f *fakeStore, change ...func(k *Keeper)) *Keeper {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -120,6 +122,9 @@
 		First: func() bool { return true }, Decode: decode,
 		Changed: func(*catalog.Catalog) {}, Fill: func(*service.Service) {}, Publish: func(news.News) {},
 	}
+	for _, c := range change {
+		c(k)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go k.Run(ctx)
@@ -249,3 +254,24 @@
 		t.Error("after the store has been away: got news for a follower, want none")
 	}
 }
+
+// Replays an operator whose writes come in quick succession, as after an outage: each must not cost a call.
+func TestARunOfConfigurationsTakesFewCalls(t *testing.T) {
+	const pause, length = 100 * time.Millisecond, 500 * time.Millisecond
+	f := newFake()
+	k := start(t, f, func(k *Keeper) { k.PauseAfter = pause })
+	await(t, k, "one a b")
+	begun, revision := time.Now(), uint64(10)
+	for ; time.Since(begun) < length; revision++ {
+		f.with(func() { f.text = &configuration.Text{Revision: revision, Value: []byte("next")} })
+		time.Sleep(5 * time.Millisecond)
+	}
+	took := time.Since(begun)
+	f.with(func() { f.text = &configuration.Text{Revision: revision, Value: []byte("last")} })
+	await(t, k, "last a b")
+	f.with(func() {
+		if most := int(took/pause) + 2; f.found > most {
+			t.Errorf("got %d calls that found a configuration in %v, want at most %d", f.found, took, most)
+		}
+	})
+}
