Count crowded targets as slower until known otherwise; ask a full data centre less

Ruled out: processor time (played without) and narrow links (narrow and wide entries alike). Change: until five answers show otherwise, the last slot is left free, but for one request at a time that finds out, and one every five seconds later. Of the targets that are asked fewer are of the own data centre the less room those had lately.

--- a/core/balancer/ask.go
+++ b/core/balancer/ask.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,7 @@
 	crossPenalty = 0.15                  // cost of a small answer's way between data centres, in times of an idle target's answer: more than busyCost
 	farPenalty   = 3.0                   // cost of a large answer's way
 	errorCost    = 8.0                   // cost of a target whose every attempt fails, in addition, as a multiple
+	roomWeight   = 0.1                   // of one report in the share of this data centre's targets that had room
 	busyCost     = 0.1                   // breaks ties between targets with free slots
 )
 
@@ -49,7 +51,7 @@
 	slots := float64(t.report.Slots)
 	held := float64(t.report.InFlight() + t.sentSince)
 	multiple := 1 + max(0, held+1-slots)/slots
-	if held+1 > crowdedShare*slots {
+	if crowds(t.report.InFlight()+t.sentSince, slots) {
 		multiple *= t.crowding.factor()
 	}
 	if now.Before(t.record.ColdUntil) {
@@ -81,7 +83,7 @@
 }
 
 // draw returns the open targets in random order, but for those of this data centre that come first: all of them for a large
-// answer, and else as many as leave one place to any other. It leaves the subset only if that has too few.
+// answer, and else all but one of those that are asked, or fewer the less room this data centre had lately. It leaves the subset only if that has too few.
 func (b *Balancer) draw(now time.Time, r request.Request, most int) []*target {
 	near, far := b.drawFrom(b.subset, now, r)
 	if len(near)+len(far) < most && len(b.subset) < len(b.targets) {
@@ -90,7 +92,7 @@
 	if r.Rule.Large {
 		return append(near, far...)
 	}
-	first := min(len(near), most-1)
+	first := min(len(near), int(math.Round(b.homeRoom*float64(most-1))))
 	rest := append(far, near[first:]...)
 	b.Random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 	return append(near[:first:first], rest...)
@@ -129,6 +131,18 @@
 	return 0
 }
 
+// noteRoom follows the share of this data centre's targets that have room when they are asked.
+func (b *Balancer) noteRoom(now time.Time, t *target) {
+	if t.record.DataCentre != b.Home || t.report.Slots == 0 {
+		return
+	}
+	room := 0.0
+	if t.room(now) {
+		room = 1
+	}
+	b.homeRoom += roomWeight * (room - b.homeRoom)
+}
+
 // crossing is the cost of the way of an answer from that target to this entry.
 func (b *Balancer) crossing(t *target, large bool) float64 {
 	switch {
--- a/core/balancer/ask_test.go
+++ b/core/balancer/ask_test.go
@@ -250,6 +250,80 @@
 	}
 }
 
+// Replays the first crest after a start: while it is not known how much slower crowded targets are, one request at a time finds
+// out, and the others wait for a slot that is worth filling.
+func TestOneRequestAtATimeGoesToACrowdedTargetWhileThatIsNotKnown(t *testing.T) {
+	d := askedDriver(t, 4)
+	busy := report.Report{Running: 2, Slots: 3, Slowdown: 1}
+	d.reportAll(busy)
+	first, second := d.submit(d.rule), d.submit(d.rule)
+	if first.Kind != decision.Send || second.Kind != decision.Wait {
+		t.Fatalf("got %s and %s, want send and wait", first.Kind, second.Kind)
+	}
+	d.now = d.now.Add(120 * time.Millisecond)
+	d.reportAll(report.Report{Running: 3, Slots: 3, Slowdown: 1})
+	d.finish(first, outcome.Answered, 120*time.Millisecond)
+	d.reportAll(busy)
+	if got := d.Poll(d.now); len(got) != 1 || got[0].Kind != decision.Send {
+		t.Errorf("got %+v once the first had ended, want the second sent", got)
+	}
+}
+
+// A crowded target is tried again now and then, since what was learnt of it may have been chance.
+func TestWhatWasLearntOfCrowdedTargetsIsCheckedAgain(t *testing.T) {
+	d := askedDriver(t, 1)
+	busy := report.Report{Running: 2, Slots: 3, Slowdown: 1}
+	for range crowdedSamples {
+		d.reportAll(busy)
+		sent := d.submit(d.rule)
+		d.now = d.now.Add(200 * time.Millisecond)
+		d.finish(sent, outcome.Answered, 200*time.Millisecond)
+	}
+	d.reportAll(busy)
+	if got := d.submit(d.rule); got.Kind != decision.Wait {
+		t.Fatalf("once known: got %s, want wait", got.Kind)
+	}
+	d.now = d.now.Add(exploreEvery)
+	d.Poll(d.now)
+	d.reportAll(busy)
+	if got := d.submit(d.rule); got.Kind != decision.Send {
+		t.Errorf("later: got %s, want send", got.Kind)
+	}
+}
+
+// Replays a data centre with more requests than its targets can serve: others are asked more the fuller it is.
+func TestAFullDataCentreIsAskedLess(t *testing.T) {
+	d := askedDriver(t, 12, func(s *service.Service) {
+		for i := range s.Targets {
+			s.Targets[i].DataCentre = fmt.Sprintf("dc%d", i%3)
+		}
+	})
+	d.Home = "dc1"
+	ask := func() (near int) {
+		for _, target := range d.Candidates(d.now, request.Request{Rule: &d.rule}, 4) {
+			r := report.Report{Slots: 3, Slowdown: 1}
+			if target.DataCentre == d.Home {
+				near++
+				r.Running = 3
+			}
+			d.Probed(d.now, target.Name, r, false)
+		}
+		return near
+	}
+	if got, want := ask(), 3; got < want {
+		t.Errorf("at first: got %d of the own data centre, want at least %d", got, want)
+	}
+	late := 0
+	for n := range 100 {
+		if near := ask(); n >= 50 {
+			late += near
+		}
+	}
+	if most := 50 * 2; late > most {
+		t.Errorf("full for a while: got %d of 200 in the own data centre, want at most %d", late, most)
+	}
+}
+
 func TestADoubtfulTargetNeedsAFreshWord(t *testing.T) {
 	d := askedDriver(t, 1, func(s *service.Service) { s.Targets[0].Doubtful = true })
 	d.reportAll(report.Report{Slots: 3, Slowdown: 1})
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -56,6 +56,7 @@
 	scratch  view     // reused, so that a pick allocates nothing
 	extra    budget.Share
 	crowding crowding
+	homeRoom float64 // share of this data centre's targets that had room when they were asked lately
 	started  time.Time
 	nextID   uint64
 	busyAt   time.Time // when the last request came
@@ -89,6 +90,7 @@
 	long     bool
 	held     int     // requests that the target reported just before
 	fresh    bool    // such a report was there
+	crowded  bool    // by that report, the target was nearly full with this request
 	slowdown float64 // by that report
 	cost     float64 // expected, as a multiple of the time at an idle target
 	load     float64 // estimated requests at the target when this one was sent
@@ -103,6 +105,7 @@
 		b.waiting = map[uint64]request.Request{}
 		b.inFlight = map[uint64]*attempt{}
 		b.peers = map[string]peerLoad{}
+		b.homeRoom = 1
 		for i := range b.queues {
 			b.queues[i] = fairqueue.Queue{Target: queueTarget, Interval: queueInterval}
 		}
--- a/core/balancer/finish.go
+++ b/core/balancer/finish.go
@@ -26,6 +26,9 @@
 	if o.HasReport {
 		t.reported(now, o.Report)
 	}
+	if a.crowded {
+		b.crowding.end()
+	}
 	t.load.Done()
 	b.enlist(t)
 	b.Check.Hold(t.load.Own() >= 0, "target %s has %d requests in flight", t.record.Name, t.load.Own())
@@ -96,7 +99,7 @@
 	if !a.fresh || float64(a.held) >= a.target.slots {
 		return
 	}
-	if float64(a.held+1) <= crowdedShare*a.target.slots {
+	if !crowds(a.held, a.target.slots) {
 		state.work.Add(time.Duration(float64(latency) / a.slowdown))
 		return
 	}
--- a/core/balancer/probes.go
+++ b/core/balancer/probes.go
@@ -50,6 +50,7 @@
 		return
 	}
 	b.targets[i].reported(now, r)
+	b.noteRoom(now, b.targets[i])
 	if draining {
 		b.leave(now, b.targets[i])
 	}
--- a/core/balancer/room.go
+++ b/core/balancer/room.go
@@ -24,7 +24,7 @@
 	if t.floor.Passing(t.slowdown()) {
 		return false
 	}
-	return float64(t.report.InFlight()+t.sentSince) < t.crowding.useful(t.slots)
+	return float64(t.report.InFlight()+t.sentSince) < t.crowding.useful(now, t.slots)
 }
 
 // aim returns until when an answer to the request has its full worth. Callers count from their first attempt, of which the
--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -133,6 +133,9 @@
 	a := &attempt{request: r, target: t, begun: now, expected: state.expected(), long: long, load: t.load.At(now), cost: v.Cost(i)}
 	a.fresh = t.report.Slots > 0 && now.Sub(t.reportAt) < confirmedFor
 	a.held, a.slowdown = t.report.InFlight()+t.sentSince, t.slowdown()
+	if a.crowded = t.asked && crowds(a.held, t.slots); a.crowded {
+		b.crowding.begin(now)
+	}
 	age := t.load.Age(now)
 	b.inFlight[r.ID] = a
 	t.load.Sent()
