Tell all entries of a crash, once the target has turned out to be gone

Sharing alone would be wrong: a broken connection also counted where only the answer was lost, and callers without a body repeat the same request often. Change: a broken connection counts once the target cannot be reached on its health path, or another has its address; then a datagram tells every entry on the list (entry/notices). Ruled out: rows in the store (a write for each), and the news streams, which lead from leaders to followers within one data centre only.

--- a/entry/crashes/keeper.go
+++ b/entry/crashes/keeper.go
@@ -19,6 +19,7 @@
 	*common.Common
 	Threshold int                                                     // crashes that put a request into quarantine; zero stands for two
 	Tell      func(fingerprint quarantine.Fingerprint, target string) // tells the peers of a crash
+	Gone      func(target string) bool                                // whether a target has crashed indeed; nil takes any broken connection for a crash
 
 	mu   sync.Mutex
 	list quarantine.List
@@ -32,12 +33,28 @@
 	k.list = quarantine.List{Threshold: k.Threshold, Period: period, Capacity: capacity}
 }
 
-// Crash counts a crash that this entry has seen, and tells the peers.
+// Crash counts a connection that a target has broken off without an answer, once that has turned out to be a crash, and tells
+// the peers. An answer that was lost on its way must not put its request into quarantine.
 func (k *Keeper) Crash(fingerprint quarantine.Fingerprint, target string) {
+	k.Log("crashes").WithField("target", target).Warn("A target broke off without an answer.")
+	if k.Gone == nil {
+		k.count(fingerprint, target)
+		return
+	}
+	go func() {
+		if k.Gone(target) {
+			k.count(fingerprint, target)
+		}
+	}()
+}
+
+func (k *Keeper) count(fingerprint quarantine.Fingerprint, target string) {
 	if !k.Heard(fingerprint, target) {
 		return
 	}
-	k.Log("crashes").WithField("target", target).Warn("A target broke off without an answer.")
+	if until, blocked := k.Blocked(k.Now(), fingerprint); blocked {
+		k.Log("crashes").WithField("target", target).WithField("until", until).Warn("A request that crashes targets is refused from now on.")
+	}
 	k.Tell(fingerprint, target)
 }
 
--- /dev/null
+++ b/entry/notices/board_test.go
@@ -0,0 +1,130 @@
+package notices
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"poplarworks/core/quarantine"
+	"poplarworks/entry/common"
+)
+
+// entry is a board and what it has heard.
+type entry struct {
+	*Board
+
+	heardMu sync.Mutex
+	targets []string
+}
+
+func (e *entry) heard() []string {
+	e.heardMu.Lock()
+	defer e.heardMu.Unlock()
+	return append([]string(nil), e.targets...)
+}
+
+// startAll starts boards on loopback that know each other.
+func startAll(t *testing.T, count int) []*entry {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	var entries []*entry
+	var addresses []netip.AddrPort
+	for range count {
+		e := &entry{}
+		e.Board = &Board{
+			Common:  &common.Common{Logger: logger, Metrics: metrics.NewRegistry()},
+			Address: netip.MustParseAddrPort("127.0.0.1:0"),
+			Heard: func(_ quarantine.Fingerprint, target string) bool {
+				e.heardMu.Lock()
+				defer e.heardMu.Unlock()
+				e.targets = append(e.targets, target)
+				return true
+			},
+		}
+		if err := e.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+		entries = append(entries, e)
+		addresses = append(addresses, e.socket.LocalAddr().(*net.UDPAddr).AddrPort())
+	}
+	for i, e := range entries {
+		e.Peers = func() []netip.AddrPort {
+			return append(append([]netip.AddrPort(nil), addresses[:i]...), addresses[i+1:]...)
+		}
+	}
+	return entries
+}
+
+func await(t *testing.T, e *entry, want int) {
+	t.Helper()
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if len(e.heard()) >= want {
+			return
+		}
+	}
+	t.Fatalf("got %d notices, want %d", len(e.heard()), want)
+}
+
+func TestEveryOtherEntryHearsOfACrash(t *testing.T) {
+	entries := startAll(t, 3)
+	entries[0].Tell(quarantine.Fingerprint{1}, "target-1")
+	for _, e := range entries[1:] {
+		await(t, e, 1)
+		if got := e.heard()[0]; got != "target-1" {
+			t.Errorf("got %q, want target-1", got)
+		}
+	}
+	if got := len(entries[0].heard()); got != 0 {
+		t.Errorf("got %d notices at the sender, want none", got)
+	}
+}
+
+func TestAFloodOfCrashesIsNotTold(t *testing.T) {
+	entries := startAll(t, 2)
+	for range 1000 {
+		entries[0].Tell(quarantine.Fingerprint{1}, "target-1")
+	}
+	if got, most := entries[0].Counter("notices.sent").Count(), int64(burst); got > most {
+		t.Errorf("got %d notices, want at most %d", got, most)
+	}
+}
+
+func TestADatagramThatIsNoNoticeChangesNothing(t *testing.T) {
+	scenarios := []struct {
+		name     string
+		datagram string
+	}{
+		{"empty", ""},
+		{"noise", "\xff\xfe noise"},
+		{"a fingerprint that is too short", "\x0a\x02\x01\x02\x12\x01t"},
+		{"no target", "\x0a\x10" + "0123456789abcdef"},
+	}
+	entries := startAll(t, 2)
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			bad := entries[1].Counter("notices.bad")
+			before := bad.Count()
+			if _, err := entries[0].socket.WriteToUDPAddrPort([]byte(s.datagram), entries[0].Peers()[0]); err != nil {
+				t.Fatal(err)
+			}
+			for end := time.Now().Add(2 * time.Second); bad.Count() == before; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("got no count of a bad notice, want one")
+				}
+			}
+			if got := len(entries[1].heard()); got != 0 {
+				t.Errorf("got %d notices, want none", got)
+			}
+		})
+	}
+}
