--- a/entry/crashes/keeper.go
+++ b/entry/crashes/keeper.go
@@ -49,20 +49,21 @@
 }
 
 func (k *Keeper) count(fingerprint quarantine.Fingerprint, target string) {
-	if !k.Heard(fingerprint, target) {
-		return
-	}
-	if until, blocked := k.Blocked(k.Now(), fingerprint); blocked {
-		k.Log("crashes").WithField("target", target).WithField("until", until).Warn("A request that crashes targets is refused from now on.")
+	if k.Heard(fingerprint, target) {
+		k.Tell(fingerprint, target)
 	}
-	k.Tell(fingerprint, target)
 }
 
 // Heard counts a crash that a peer has seen, and reports whether it was news.
 func (k *Keeper) Heard(fingerprint quarantine.Fingerprint, target string) bool {
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.list.Crash(k.Now(), fingerprint, target)
+	news := k.list.Crash(k.Now(), fingerprint, target)
+	until, blocked := k.list.Blocked(k.Now(), fingerprint)
+	k.mu.Unlock()
+	if news && blocked {
+		k.Log("crashes").WithField("target", target).WithField("until", until).Warn("A request that crashes targets is refused from now on.")
+	}
+	return news
 }
 
 // Blocked reports whether the request is in quarantine, and until when.
--- a/entry/notices/board.go
+++ b/entry/notices/board.go
@@ -101,6 +101,6 @@
 		return
 	}
 	if b.Heard(quarantine.Fingerprint(crash.GetFingerprint()), crash.GetTarget()) {
-		b.Log("notices").WithField("target", crash.GetTarget()).WithField("from", from).Info("Another entry tells of a crash.")
+		b.Log("notices").WithField("target", crash.GetTarget()).WithField("from", from).Debug("Another entry tells of a crash.")
 	}
 }
