--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -66,6 +66,14 @@
 	return until, now.Before(until)
 }
 
+// Targets returns the targets that a fingerprint in quarantine has crashed.
+func (l *List) Targets(now time.Time, fingerprint Fingerprint) []string {
+	if _, blocked := l.Blocked(now, fingerprint); !blocked {
+		return nil
+	}
+	return l.crashes[fingerprint].targets
+}
+
 // Suspect reports whether the fingerprint has crashed a target within the period.
 func (l *List) Suspect(now time.Time, fingerprint Fingerprint) bool {
 	held, ok := l.crashes[fingerprint]
--- a/entry/crashes/keeper.go
+++ b/entry/crashes/keeper.go
@@ -1,6 +1,7 @@
 package crashes
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -73,6 +74,13 @@
 	return k.list.Blocked(now, fingerprint)
 }
 
+// Known returns the targets that a request in quarantine has crashed, for an entry that does not know it.
+func (k *Keeper) Known(fingerprint quarantine.Fingerprint) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.list.Targets(k.Now(), fingerprint))
+}
+
 // Suspect reports whether the request has crashed a target lately.
 func (k *Keeper) Suspect(now time.Time, fingerprint quarantine.Fingerprint) bool {
 	k.mu.Lock()
--- a/entry/discovery/follow.go
+++ b/entry/discovery/follow.go
@@ -24,7 +24,7 @@
 		var version uint64
 		var err error
 		if known {
-			t, version, err = k.Source.NextConfiguration(ctx, after, k.WaitConfig)
+			t, version, err = k.awaitConfiguration(ctx, after)
 		} else {
 			t, version, err = k.Source.Configuration(ctx)
 		}
@@ -43,6 +43,15 @@
 	}
 }
 
+// awaitConfiguration waits at the store for a new configuration. It gives up when a look at the targets fails: whatever silenced
+// that may have silenced this call, too, which would wait on for long.
+func (k *Keeper) awaitConfiguration(ctx context.Context, after uint64) (*configuration.Text, uint64, error) {
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	k.giveUp.Store(&cancel)
+	return k.Source.NextConfiguration(bounded, after, k.WaitConfig)
+}
+
 func (k *Keeper) followTargets(ctx context.Context) {
 	retry := backoff{}
 	for ctx.Err() == nil {
@@ -52,6 +61,9 @@
 		}
 		if err := k.lookAtTargets(ctx); err != nil {
 			k.failing.Store(true)
+			if cancel := k.giveUp.Load(); cancel != nil {
+				(*cancel)()
+			}
 			k.failed("targets", err)
 			k.pause(ctx, &retry)
 			continue
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -42,8 +42,9 @@
 	Publish    func(n news.News)        // tells followers, one call at a time
 
 	current atomic.Pointer[catalog.Catalog]
-	failing atomic.Bool  // the last look at the targets failed, so that the configuration need not be asked for
-	answers atomic.Int64 // calls that the store has answered
+	failing atomic.Bool                        // the last look at the targets failed, so that the configuration need not be asked for
+	giveUp  atomic.Pointer[context.CancelFunc] // ends the wait for a configuration
+	answers atomic.Int64                       // calls that the store has answered
 
 	mu       sync.Mutex
 	config   *configuration.Configuration
--- a/measure/soak/caller.go
+++ b/measure/soak/caller.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,7 +15,14 @@
 	"poplarworks/standin/backend"
 )
 
-const callTimeout = 3 * time.Second
+const (
+	callTimeout   = 3 * time.Second
+	crashEvery    = 300 * time.Millisecond // between requests that crash the targets that run them
+	crashesKnown  = 3                      // crashes after which such a request is to be refused
+	refusedWithin = 3 * time.Second        // after the third, everywhere
+	mostLater     = 3                      // that may still reach a target
+	crashID       = "crash-calm"           // begins the ids of requests to entries to which nothing has happened for refusedWithin
+)
 
 // answer is what one request came to; a status of zero stands for a connection that ended.
 type answer struct {
@@ -80,6 +88,48 @@
 	}
 }
 
+// crash sends the same request again and again, which crashes each target that runs it, to any entry.
+func (c *callers) crash(ctx context.Context, random *rand.Rand, name string) {
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		entry, kind := random.IntN(len(c.world.Callers)), "crash-disturbed"
+		if c.world.calm(entry, refusedWithin) {
+			kind = crashID
+		}
+		send(client, c.world.Callers[entry], http.MethodGet, backend.CrashPath, fmt.Sprintf("%s-%s-%d", kind, name, n)) // none is answered
+		time.Sleep(crashEvery)
+	}
+}
+
+// checkCrashes finds requests that went on to reach targets although they were known to crash them, through entries that had time
+// enough to know. An entry that has just started or was cut off may still have to learn it.
+func checkCrashes(crashes []backend.Execution) []string {
+	slices.SortFunc(crashes, func(x, y backend.Execution) int { return x.At.Compare(y.At) })
+	later := 0
+	for _, e := range crashes {
+		if strings.HasPrefix(e.ID, crashID) && e.At.Sub(crashes[min(crashesKnown, len(crashes))-1].At) > refusedWithin {
+			later++
+		}
+	}
+	if later > mostLater {
+		return []string{fmt.Sprintf("a request reached %d targets long after it had crashed %d", later, crashesKnown)}
+	}
+	return nil
+}
+
+// checkConfigured finds entries that do not know a route of the newest configuration.
+func (c *callers) checkConfigured(prefix string) []string {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var breaches []string
+	for i, address := range c.world.Callers {
+		if status, _ := send(client, address, http.MethodGet, prefix, fmt.Sprintf("configured-%d", i)); status != http.StatusOK {
+			breaches = append(breaches, fmt.Sprintf("entry %d answers %d on a route of the newest configuration", i, status))
+		}
+	}
+	return breaches
+}
+
 // check returns the promises that were broken, and how many requests were served.
 func (c *callers) check() (breaches []string, served int) {
 	c.mu.Lock()
@@ -87,14 +137,19 @@
 	c.world.mu.Lock()
 	defer c.world.mu.Unlock()
 	runs := map[string]int{}
+	var crashes []backend.Execution
 	for name, t := range c.world.targets {
 		for _, e := range t.Runs() {
 			runs[e.ID]++
+			if strings.HasPrefix(e.ID, "crash") {
+				crashes = append(crashes, e)
+			}
 			if left, ok := c.world.left[name]; ok && e.At.Sub(left) > LeaveWithin {
 				breaches = append(breaches, fmt.Sprintf("request %s reached %s %s after it had said that it leaves", e.ID, name, e.At.Sub(left)))
 			}
 		}
 	}
+	breaches = append(breaches, checkCrashes(crashes)...)
 	for _, a := range c.answers {
 		switch {
 		case a.payment && runs[a.id] > 1:
--- a/measure/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -71,3 +72,32 @@
 		})
 	}
 }
+
+func TestARequestThatCrashesTargetsMustBeRefused(t *testing.T) {
+	begun := time.Now()
+	at := func(id string, after time.Duration) backend.Execution {
+		return backend.Execution{ID: id, At: begun.Add(after)}
+	}
+	known := []backend.Execution{at("crash-disturbed-1", 0), at("crash-calm-2", 0), at("crash-calm-3", time.Second)}
+	scenarios := []struct {
+		name  string
+		id    string
+		after time.Duration
+		want  int
+	}{
+		{"through calm entries, long after", "crash-calm", refusedWithin + 2*time.Second, 1},
+		{"through calm entries, at once", "crash-calm", refusedWithin, 0},
+		{"through entries that have just started", "crash-disturbed", refusedWithin + 2*time.Second, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			crashes := slices.Clone(known)
+			for range mostLater + 1 {
+				crashes = append(crashes, at(s.id, s.after))
+			}
+			if got := checkCrashes(crashes); len(got) != s.want {
+				t.Errorf("got %q, want %d breaches", got, s.want)
+			}
+		})
+	}
+}
--- a/measure/soak/world.go
+++ b/measure/soak/world.go
@@ -48,6 +48,7 @@
 	gone    map[string]bool
 	left    map[string]time.Time // when the store took the word that the target leaves
 	number  uint64
+	touched []time.Time // when each entry was last started, stopped, paused or cut off
 }
 
 // NewWorld builds the program and starts everything.
@@ -76,7 +77,7 @@
 			return nil, err
 		}
 	}
-	w.Configure("/fees/")
+	w.Configure("/first/")
 	go w.beat(ctx)
 	for i := range entries {
 		if err := w.addEntry(i, binaries, netip.MustParseAddrPort(listener.Addr().String())); err != nil {
@@ -114,12 +115,27 @@
 	p := &proc.Process{
 		Name: fmt.Sprintf("entry-%d", i), Binary: filepath.Join(binaries, "poplar-platform"), Args: []string{"--settings", file}, LogDir: w.dir,
 	}
+	w.touched = append(w.touched, time.Now())
 	w.Links, w.Entries, w.Callers = append(w.Links, toStore), append(w.Entries, p), append(w.Callers, addresses[0])
 	return p.Start()
 }
 
-// Configure writes a configuration in which payments have the prefix.
-func (w *World) Configure(payments string) {
+// Disturb notes that an entry has been started, stopped, paused or cut off, or that this has ended.
+func (w *World) Disturb(i int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.touched[i] = time.Now()
+}
+
+// calm reports whether nothing has happened to an entry for that long.
+func (w *World) calm(i int, long time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.touched[i]) > long
+}
+
+// Configure writes a configuration with one more route for lookups.
+func (w *World) Configure(added string) {
 	w.mu.Lock()
 	w.number += 2
 	number := w.number
@@ -136,7 +152,8 @@
 		}}
 	}
 	data, err := json.Marshal(map[string]any{"configVersion": number, "resources": []any{
-		route("lookup", "/status/", "safe", "lookups"), route("fee", payments, "non_idempotent", "fees"),
+		route("lookup", "/status/", "safe", "lookups"), route("fee", "/fees/", "non_idempotent", "fees"),
+		route("added", added, "safe", "lookups"),
 		service("lookups"), service("fees"),
 	}})
 	if err == nil { // the value is made of plain types
@@ -149,6 +166,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t := &backend.Target{Name: fmt.Sprintf("t-%d", len(w.targets)), Service: service, Slots: slots, Work: workTime}
+	t.Crashed = func() {
+		w.Crash(t)
+		_, _ = w.Join(ctx, service) // the run goes on with fewer targets
+	}
 	if err := t.Start(ctx); err != nil {
 		return nil, err
 	}
--- a/standin/backend/target.go
+++ b/standin/backend/target.go
@@ -20,6 +20,9 @@
 	Slow  time.Duration
 }
 
+// CrashPath is the path of a request that crashes each target that begins to run it.
+const CrashPath = "/status/crash"
+
 // Execution is one run of a request.
 type Execution struct {
 	ID string
@@ -32,6 +35,7 @@
 	Service string
 	Slots   int
 	Work    time.Duration
+	Crashed func() // called when a request has crashed the target
 
 	mu       sync.Mutex
 	faults   Faults
@@ -137,6 +141,11 @@
 		return
 	}
 	defer t.end()
+	if r.URL.Path == CrashPath {
+		t.Stop()
+		go t.Crashed()
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = io.Copy(io.Discard, r.Body) // a caller that has left is seen below
 	select {
 	case <-time.After(t.Work + faults.Slow):
