Do not ask targets for a load that they never tell

Change: while no target of a service has told any load its targets are asked once in ten seconds only, or if a registration has lapsed; then the target's word that it is well is enough.

--- a/core/balancer/ask.go
+++ b/core/balancer/ask.go
@@ -13,6 +13,7 @@
 
 const (
 	reportUseful = 40 * time.Millisecond // after which a report says little: slowness shifts several times as often as requests end
+	muteFor      = 10 * time.Second      // after which targets that told no load are asked again
 	confirmedFor = 30 * time.Millisecond // for which a report shows that a doubtful target still takes work
 	avoidSlow    = 2.0                   // reported slowdown above which a target is not asked again while the report is useful
 	coldFactor   = 2.0                   // how much slower a target works while it is cold
@@ -155,6 +156,24 @@
 	}
 }
 
+// Mute notes that a target is well and tells no load. While none of the service has ever told any, its targets are asked only
+// if that is needed to trust them.
+func (b *Balancer) Mute(now time.Time, name string) {
+	i, ok := b.byName[name]
+	if !ok {
+		return
+	}
+	b.targets[i].wellAt = now
+	if b.crowding.reportedAt.IsZero() {
+		b.muteUntil = now.Add(muteFor)
+	}
+}
+
+// WorthAsking reports whether asking targets can tell anything.
+func (b *Balancer) WorthAsking(now time.Time) bool {
+	return !now.Before(b.muteUntil) || slices.ContainsFunc(b.targets, (*target).doubtful)
+}
+
 // Unreachable notes that a target did not answer when it was asked for its load.
 func (b *Balancer) Unreachable(now time.Time, name string) {
 	if i, ok := b.byName[name]; ok {
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -40,27 +40,28 @@
 	Random *rand.Rand
 	Check  *invariant.Checker
 
-	service  service.Service
-	targets  []*target
-	subset   []*target // that this entry asks
-	byName   map[string]int
-	rules    map[string]*ruleState
-	queues   [queues]fairqueue.Queue
-	waiting  map[uint64]request.Request
-	inFlight map[uint64]*attempt
-	peers    map[string]peerLoad
-	finished rate
-	census   census
-	free     []int    // indices of targets where this entry has a slot of its own free
-	active   []string // entries that send to the service, this one included, in order
-	scratch  view     // reused, so that a pick allocates nothing
-	extra    budget.Share
-	crowding crowding
-	homeRoom float64 // share of this data centre's targets that had room when they were asked lately
-	started  time.Time
-	nextID   uint64
-	busyAt   time.Time // when the last request came
-	long     int       // own long requests in flight
+	service   service.Service
+	targets   []*target
+	subset    []*target // that this entry asks
+	byName    map[string]int
+	rules     map[string]*ruleState
+	queues    [queues]fairqueue.Queue
+	waiting   map[uint64]request.Request
+	inFlight  map[uint64]*attempt
+	peers     map[string]peerLoad
+	finished  rate
+	census    census
+	free      []int    // indices of targets where this entry has a slot of its own free
+	active    []string // entries that send to the service, this one included, in order
+	scratch   view     // reused, so that a pick allocates nothing
+	extra     budget.Share
+	crowding  crowding
+	muteUntil time.Time // until when the targets are not asked, since they tell no load
+	homeRoom  float64   // share of this data centre's targets that had room when they were asked lately
+	started   time.Time
+	nextID    uint64
+	busyAt    time.Time // when the last request came
+	long      int       // own long requests in flight
 }
 
 // The queues, in the order in which they are served.
--- a/core/balancer/target.go
+++ b/core/balancer/target.go
@@ -43,6 +43,7 @@
 	home      int           // slots that this entry counts as its own
 	report    report.Report // newest load report with slots
 	reportAt  time.Time
+	wellAt    time.Time // when it last said that it is well without telling its load
 	sentSince int       // requests sent since the report
 	crowding  *crowding // of the service
 	floor     interference.Floor
@@ -101,7 +102,7 @@
 // open reports whether the target takes new work at all; while most targets are ejected, ejection is not heeded, so
 // that a fault common to all cannot take every target away.
 func (t *target) open(now time.Time, panicking bool) bool {
-	if t.removed || t.stopped || now.Before(t.backoffTill) || t.record.Doubtful && now.Sub(t.reportAt) > confirmedFor {
+	if t.removed || t.stopped || now.Before(t.backoffTill) || t.record.Doubtful && !t.confirmed(now) {
 		return false
 	}
 	switch t.machine.State() {
@@ -117,6 +118,11 @@
 	return true
 }
 
+// confirmed reports whether the target has just said that it takes work.
+func (t *target) confirmed(now time.Time) bool {
+	return now.Sub(t.reportAt) <= confirmedFor || now.Sub(t.wellAt) <= confirmedFor
+}
+
 // rampFraction is the share of its slots that a cold target may be given.
 func (t *target) rampFraction(now time.Time) float64 {
 	if t.machine.State() != lifecycle.Cold || t.ramp <= 0 {
--- a/entry/asker/asker.go
+++ b/entry/asker/asker.go
@@ -50,12 +50,7 @@
 
 // Ask returns when the targets drawn for the request have reported their load, or after a short wait.
 func (a *Asker) Ask(ctx context.Context, s *dispatch.Service, r request.Request) {
-	most := a.take(s.Record().Asked)
-	if most == 0 {
-		return
-	}
-	var drawn []service.Target
-	s.Do(func(b *balancer.Balancer, now time.Time) { drawn = b.Candidates(now, r, most) })
+	drawn := a.draw(s, r, s.Record().Asked)
 	reported := make(chan bool, len(drawn))
 	for _, t := range drawn {
 		go func() { reported <- a.ask(ctx, s, t) }()
@@ -81,14 +76,20 @@
 	}
 }
 
-// Again asks some targets while requests wait, and does not wait for their reports.
-func (a *Asker) Again(s *dispatch.Service) {
-	most := a.take(askedAgain)
+// draw names the targets to ask, as far as the budget goes.
+func (a *Asker) draw(s *dispatch.Service, r request.Request, most int) []service.Target {
 	var drawn []service.Target
 	s.Do(func(b *balancer.Balancer, now time.Time) {
-		drawn = b.Candidates(now, request.Request{Rule: &rule.Rule{}}, most)
+		if b.WorthAsking(now) {
+			drawn = b.Candidates(now, r, a.take(most))
+		}
 	})
-	for _, t := range drawn {
+	return drawn
+}
+
+// Again asks some targets while requests wait, and does not wait for their reports.
+func (a *Asker) Again(s *dispatch.Service) {
+	for _, t := range a.draw(s, request.Request{Rule: &rule.Rule{}}, askedAgain) {
 		go a.ask(context.Background(), s, t)
 	}
 }
@@ -103,6 +104,9 @@
 	a.Histogram("probes.us").Update(a.Now().Sub(begun).Microseconds())
 	if err != nil {
 		a.Counter("probes.failed").Inc(1)
+		if probe.Mute(err) {
+			s.Reported(func(b *balancer.Balancer, now time.Time) { b.Mute(now, t.Name) })
+		}
 		if !probe.Unwell(err) {
 			s.Do(func(b *balancer.Balancer, now time.Time) { b.Unreachable(now, t.Name) })
 		}
--- a/entry/probe/client.go
+++ b/entry/probe/client.go
@@ -62,6 +62,11 @@
 	return signs, nil
 }
 
+// Mute reports whether the error says that the target is well and tells no load.
+func Mute(err error) bool {
+	return errors.Is(err, errNoReport)
+}
+
 // Unwell reports whether the error is the target's own word, so that it can be reached.
 func Unwell(err error) bool {
 	return errors.Is(err, errUnwell) || errors.Is(err, errNoReport)
