Keep the ordered rules while targets change; a request alone crowds no target

The configuration had 2,004 rules, and each change of any target ordered all of them anew, and all records again to list the services. A target of one slot counted as crowded by its only request, so that nothing was learnt of it; seen on reading.

--- a/core/balancer/ask.go
+++ b/core/balancer/ask.go
@@ -84,7 +84,8 @@
 }
 
 // draw returns the open targets in random order, but for those of this data centre that come first: all of them for a large
-// answer, and else all but one of those that are asked, or fewer the less room this data centre had lately. It leaves the subset only if that has too few.
+// answer, and else all but one of those that are asked, or fewer the less room this data centre had lately. It leaves the subset
+// only if that has too few.
 func (b *Balancer) draw(now time.Time, r request.Request, most int) []*target {
 	near, far := b.drawFrom(b.subset, now, r)
 	if len(near)+len(far) < most && len(b.subset) < len(b.targets) {
--- a/core/balancer/crowding.go
+++ b/core/balancer/crowding.go
@@ -24,9 +24,9 @@
 	exploredAt time.Time
 }
 
-// crowds reports whether one more request makes a target with that many crowded.
+// crowds reports whether one more request makes a target with that many crowded; a request alone never does.
 func crowds(held int, slots float64) bool {
-	return float64(held+1) > crowdedShare*slots
+	return held > 0 && float64(held+1) > crowdedShare*slots
 }
 
 func (c *crowding) begin(now time.Time) {
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -71,9 +71,16 @@
 
 // All returns every record, tombstones included, in order of revision.
 func (c *Catalog) All() []record.Record {
-	all := make([]record.Record, 0, len(c.records))
+	return c.chosen(func(record.Record) bool { return true })
+}
+
+// chosen returns the records that are wanted in order of revision; it sorts no others, of which there may be thousands.
+func (c *Catalog) chosen(want func(rec record.Record) bool) []record.Record {
+	var all []record.Record
 	for _, rec := range c.records {
-		all = append(all, rec)
+		if want(rec) {
+			all = append(all, rec)
+		}
 	}
 	slices.SortFunc(all, func(a, b record.Record) int {
 		if a.Revision != b.Revision {
@@ -104,10 +111,8 @@
 // Services returns the services in force.
 func (c *Catalog) Services() []service.Service {
 	var list []service.Service
-	for _, rec := range c.All() {
-		if rec.Service != nil && !rec.Deleted {
-			list = append(list, *rec.Service)
-		}
+	for _, rec := range c.chosen(func(rec record.Record) bool { return rec.Service != nil && !rec.Deleted }) {
+		list = append(list, *rec.Service)
 	}
 	return list
 }
@@ -115,10 +120,8 @@
 // Stops returns the stops that are announced, begun or not.
 func (c *Catalog) Stops() []stop.Stop {
 	var list []stop.Stop
-	for _, rec := range c.All() {
-		if rec.Stop != nil && !rec.Deleted {
-			list = append(list, *rec.Stop)
-		}
+	for _, rec := range c.chosen(func(rec record.Record) bool { return rec.Stop != nil && !rec.Deleted }) {
+		list = append(list, *rec.Stop)
 	}
 	return list
 }
@@ -207,3 +210,14 @@
 	c.orderRules()
 	return c
 }
+
+// WithServices returns a catalog in which the services are those of the records; it shares the rules, which stay as they are.
+func (c *Catalog) WithServices(records []record.Record) *Catalog {
+	next := &Catalog{records: maps.Clone(c.records), rules: c.rules, revision: c.revision}
+	maps.DeleteFunc(next.records, func(key record.Key, _ record.Record) bool { return key.Kind == record.KindService })
+	for _, rec := range records {
+		next.records[rec.Key] = rec
+		next.revision = max(next.revision, rec.Revision)
+	}
+	return next
+}
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -135,3 +137,52 @@
 		})
 	}
 }
+
+// Replays what an entry does whenever a target changes, beside a configuration of thousands of rules.
+func BenchmarkWithServices(b *testing.B) {
+	records := make([]record.Record, 2000)
+	for i := range records {
+		name := fmt.Sprintf("rule-%d", i)
+		records[i] = record.Record{Key: record.Key{Kind: record.KindRule, Name: name}, Rule: &rule.Rule{Name: name, Service: "s"}}
+	}
+	rules := Of(records)
+	added := []record.Record{{Key: record.Key{Kind: record.KindService, Name: "s"}, Service: &service.Service{Name: "s"}}}
+	for b.Loop() {
+		if got := len(rules.WithServices(added).Services()); got != 1 {
+			b.Fatalf("got %d services, want 1", got)
+		}
+	}
+}
+
+func TestServicesAreReplacedAndRulesStay(t *testing.T) {
+	named := func(name string) record.Record {
+		return record.Record{Key: record.Key{Kind: record.KindService, Name: name}, Revision: 7, Service: &service.Service{Name: name}}
+	}
+	rules := Of([]record.Record{{Key: record.Key{Kind: record.KindRule, Name: "r"}, Revision: 5, Rule: &rule.Rule{Name: "r", Service: "a"}}})
+	first := rules.WithServices([]record.Record{named("a"), named("b")})
+	second := first.WithServices([]record.Record{named("b")})
+	scenarios := []struct {
+		name    string
+		catalog *Catalog
+		want    []string
+	}{
+		{"the rules alone", rules, nil},
+		{"two services", first, []string{"a", "b"}},
+		{"one is gone", second, []string{"b"}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			var got []string
+			for _, held := range s.catalog.Services() {
+				got = append(got, held.Name)
+			}
+			slices.Sort(got)
+			if !slices.Equal(got, s.want) {
+				t.Errorf("got services %v, want %v", got, s.want)
+			}
+			if r, ok := s.catalog.Match("", "GET", ""); !ok || r.Name != "r" {
+				t.Errorf("got rule %q, want r", r.Name)
+			}
+		})
+	}
+}
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -49,6 +49,8 @@
 	mu       sync.Mutex
 	config   *configuration.Configuration
 	text     configuration.Text
+	rules    *catalog.Catalog             // of the configuration below
+	rulesOf  *configuration.Configuration // whose rules they are
 	targets  registry.Registry
 	listed   bool
 	heardAt  time.Time // as of which the targets are known
@@ -232,17 +234,26 @@
 
 // build is called with the lock held.
 func (k *Keeper) build(now time.Time) *catalog.Catalog {
-	targets := k.targets.Services(now)
-	records := make([]record.Record, 0, len(k.config.Rules)+len(k.config.Services))
-	for i := range k.config.Rules {
-		r := &k.config.Rules[i]
-		records = append(records, record.Record{Key: record.Key{Kind: record.KindRule, Name: r.Name}, Revision: k.config.Revision, Rule: r})
+	if k.rulesOf != k.config {
+		k.rules, k.rulesOf = catalogOf(k.config), k.config
 	}
+	targets := k.targets.Services(now)
+	records := make([]record.Record, 0, len(k.config.Services))
 	for _, s := range k.config.Services {
 		s.Targets = targets[s.Name]
 		s.Slots = k.targets.Slots(s.Name)
 		k.Fill(&s)
 		records = append(records, record.Record{Key: record.Key{Kind: record.KindService, Name: s.Name}, Revision: k.revision, Service: &s})
 	}
+	return k.rules.WithServices(records)
+}
+
+// catalogOf returns the rules of a configuration. Targets change far more often than rules, of which there may be thousands.
+func catalogOf(c *configuration.Configuration) *catalog.Catalog {
+	records := make([]record.Record, 0, len(c.Rules))
+	for i := range c.Rules {
+		r := &c.Rules[i]
+		records = append(records, record.Record{Key: record.Key{Kind: record.KindRule, Name: r.Name}, Revision: c.Revision, Rule: r})
+	}
 	return catalog.Of(records)
 }
