--- a/entry/notices/board_test.go
+++ b/entry/notices/board_test.go
@@ -31,6 +31,12 @@
 	return append([]string(nil), e.targets...)
 }
 
+func (e *entry) hear(targets ...string) {
+	e.heardMu.Lock()
+	defer e.heardMu.Unlock()
+	e.targets = append(e.targets, targets...)
+}
+
 // startAll starts boards on loopback that know each other.
 func startAll(t *testing.T, count int) []*entry {
 	t.Helper()
@@ -111,7 +117,7 @@
 // An entry that has started anew tells of a crash that the others know; they tell it of the others.
 func TestAnEntryThatHasForgottenIsReminded(t *testing.T) {
 	entries := startAll(t, 2)
-	entries[1].targets = []string{"target-1", "target-2", "target-3"}
+	entries[1].hear("target-1", "target-2", "target-3")
 	entries[0].Tell(quarantine.Fingerprint{1}, "target-3")
 	await(t, entries[0], 3)
 }
