--- a/entry/notices/board.go
+++ b/entry/notices/board.go
@@ -69,13 +69,18 @@
 		return
 	}
 	failed := 0
+	var last error
 	for _, peer := range peers {
 		if _, err := b.socket.WriteToUDPAddrPort(datagram, peer); err != nil {
 			failed++
+			last = err
 		}
 	}
 	b.Counter("notices.sent").Inc(int64(len(peers) - failed))
-	b.Counter("notices.failed").Inc(int64(failed))
+	if failed > 0 {
+		b.Counter("notices.failed").Inc(int64(failed))
+		b.Log("notices").WithError(last).WithField("entries", failed).Warn("Some entries cannot be told of a crash.")
+	}
 }
 
 func (b *Board) awaitTurn() bool {
@@ -101,8 +106,8 @@
 			return
 		}
 		if err != nil {
-			// On loopback a peer that is gone shows here as a refused connection.
 			b.Counter("notices.errors").Inc(1)
+			b.Log("notices").WithError(err).Warn("A notice cannot be read.")
 			continue
 		}
 		b.accept(datagram[:size], from)
@@ -114,6 +119,7 @@
 	err := proto.Unmarshal(datagram, crash)
 	if err != nil || len(crash.GetFingerprint()) != len(quarantine.Fingerprint{}) || crash.GetTarget() == "" {
 		b.Counter("notices.bad").Inc(1)
+		b.Log("notices").WithField("from", from).WithField("bytes", len(datagram)).Warn("A datagram is no notice.")
 		return
 	}
 	fingerprint := quarantine.Fingerprint(crash.GetFingerprint())
@@ -129,6 +135,9 @@
 // remind tells an entry that still lets a refused request through, since it has just started, what crashed before.
 func (b *Board) remind(fingerprint quarantine.Fingerprint, peer netip.AddrPort) {
 	known := b.Known(fingerprint)
+	if len(known) == 0 {
+		return
+	}
 	b.mu.Lock()
 	_, ok := b.reminders.Take(b.Now())
 	b.mu.Unlock()
