Hedge repeatable requests whose attempt is overdue

Now an attempt is overdue at 1.6 times the time that its target's report let expect, and is hedged if the second can be in time, else at 4 times, when it is probably stuck. Only with a free slot, nobody waiting, and from the half of the fleet's budget of extra attempts that is not kept for retries.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -88,6 +88,7 @@
 	target   *target
 	begun    time.Time
 	expected time.Duration
+	answer   time.Duration // expected time to the answer, by the report of the target if that is fresh
 	long     bool
 	held     int     // requests that the target reported just before
 	fresh    bool    // such a report was there
--- /dev/null
+++ b/core/balancer/hedge_test.go
@@ -0,0 +1,72 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"poplarworks/core/outcome"
+	"poplarworks/core/report"
+)
+
+// Replays work with a heavy tail: most answers take 100 ms, some ten times as long.
+func TestAnOverdueAttemptIsHedgedWhileThatCanBeInTime(t *testing.T) {
+	scenarios := []struct {
+		name      string
+		slowdown  float64       // that the target reports
+		waited    time.Duration // before the request is sent
+		deadline  time.Duration
+		once      bool
+		unlearnt  bool
+		want      time.Duration
+		wantHedge bool
+	}{
+		{name: "beyond what is usual", slowdown: 1, deadline: time.Second, want: 160 * time.Millisecond, wantHedge: true},
+		{name: "a slow target is given more time", slowdown: 1.2, deadline: time.Second, want: 192 * time.Millisecond, wantHedge: true},
+		{
+			name: "a second answer would be late, so the first must be stuck", slowdown: 1, waited: 80 * time.Millisecond,
+			deadline: time.Second, want: 400 * time.Millisecond, wantHedge: true,
+		},
+		{name: "a second answer would be too late", slowdown: 1, waited: 80 * time.Millisecond, deadline: 450 * time.Millisecond},
+		{name: "it must run once", slowdown: 1, deadline: time.Second, once: true},
+		{name: "the usual time is not known", slowdown: 1, deadline: time.Second, unlearnt: true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			d := askedDriver(t, 2)
+			d.rule.Idempotent, d.rule.Deadline = !s.once, s.deadline
+			if s.unlearnt {
+				delete(d.rules, d.rule.Name)
+			}
+			d.reportAll(report.Report{Slots: 3, Slowdown: s.slowdown})
+			sent := d.submit(d.rule)
+			d.inFlight[sent.ID].request.Arrived = d.now.Add(-s.waited)
+			got, hedge := d.HedgeAfter(d.now, sent.ID)
+			if off := (got - s.want).Abs(); hedge != s.wantHedge || off > s.want/10 {
+				t.Errorf("got %s and %t, want about %s and %t", got, hedge, s.want, s.wantHedge)
+			}
+		})
+	}
+}
+
+func TestAHedgeGoesToAnotherTargetWithinTheBudget(t *testing.T) {
+	d := askedDriver(t, 3)
+	hedges := 0
+	for range 20 {
+		d.reportAll(report.Report{Slots: 3, Slowdown: 1})
+		r := d.request(d.rule)
+		sent := d.Submit(d.now, r)
+		r.ID, r.Attempt, r.Tried = sent.ID, 1, []string{sent.Name}
+		second, ok := d.Hedge(d.now, r)
+		if ok {
+			hedges++
+			if second.Name == sent.Name {
+				t.Fatalf("got %s for both attempts, want two targets", sent.Name)
+			}
+			d.finish(second, outcome.Cancelled, 0)
+		}
+		d.finish(sent, outcome.Answered, 100*time.Millisecond)
+	}
+	if most := int(3 + 20*d.service.ExtraRatio); hedges == 0 || hedges > most {
+		t.Errorf("got %d hedges, want at least one and at most %d", hedges, most)
+	}
+}
--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -133,6 +133,10 @@
 	a := &attempt{request: r, target: t, begun: now, expected: state.expected(), long: long, load: t.load.At(now), cost: v.Cost(i)}
 	a.fresh = t.report.Slots > 0 && now.Sub(t.reportAt) < confirmedFor
 	a.held, a.slowdown = t.report.InFlight()+t.sentSince, t.slowdown()
+	a.answer = a.expected
+	if a.fresh {
+		a.answer = time.Duration(t.answerTime(now) * float64(state.idleTime()))
+	}
 	if a.crowded = t.asked && crowds(a.held, t.slots); a.crowded {
 		b.crowding.begin(now)
 	}
--- a/entry/dispatch/service.go
+++ b/entry/dispatch/service.go
@@ -10,7 +10,6 @@
 	"poplarworks/core/decision"
 	"poplarworks/core/outcome"
 	"poplarworks/core/request"
-	"poplarworks/core/rule"
 	"poplarworks/core/service"
 	"poplarworks/entry/common"
 )
@@ -147,11 +146,11 @@
 	return s.balancer.Confirm(id)
 }
 
-// HedgeAfter returns how long to wait for an answer before a second attempt, and whether to hedge at all.
-func (s *Service) HedgeAfter(r *rule.Rule) (time.Duration, bool) {
+// HedgeAfter returns how long to wait for the answer to an attempt before a second one, and whether to hedge at all.
+func (s *Service) HedgeAfter(id uint64) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.balancer.HedgeAfter(r)
+	return s.balancer.HedgeAfter(s.Now(), id)
 }
 
 // Hedge returns a second target, if one is free at once and the budget allows it.
--- a/entry/exchange/attempt.go
+++ b/entry/exchange/attempt.go
@@ -99,7 +99,7 @@
 
 // tryOnce makes one attempt, with a second one beside it when the first is slow and the rule allows hedging.
 func (c *call) tryOnce(d decision.Decision) result {
-	if after, ok := c.service.HedgeAfter(&c.rule); ok && c.held() && c.body.rest == nil {
+	if after, ok := c.service.HedgeAfter(d.ID); ok && c.held() && c.body.rest == nil {
 		return c.hedged(d, after)
 	}
 	return c.attempt(c.ctx, d, c.outgoing(d))
