Estimate waits from what is in flight, too, after a start

Cause: the rate at which requests end is near zero in the first half second of a process. By Little's law the requests in flight say what will end.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -24,6 +24,7 @@
 	minTail        = 0.05 // share of answers that count as slow, unless a rule allows more hedges
 	rateMemory     = 500 * time.Millisecond
 	defaultLatency = 5 * time.Millisecond
+	shortestAnswer = time.Millisecond // bounds the rate at which requests in flight are expected to end
 )
 
 // Picker chooses among the targets.
@@ -50,6 +51,7 @@
 	inFlight  map[uint64]*attempt
 	peers     map[string]peerLoad
 	finished  rate
+	flowing   float64 // requests a second that end if those in flight take their usual time
 	census    census
 	free      []int    // indices of targets where this entry has a slot of its own free
 	active    []string // entries that send to the service, this one included, in order
@@ -179,3 +181,8 @@
 	}
 	return s.typical.Value()
 }
+
+// perSecond returns how many such attempts a slot ends in a second.
+func (a *attempt) perSecond() float64 {
+	return 1 / max(a.expected, shortestAnswer).Seconds()
+}
--- a/core/balancer/finish.go
+++ b/core/balancer/finish.go
@@ -21,6 +21,9 @@
 		return
 	}
 	delete(b.inFlight, id)
+	if b.flowing -= a.perSecond(); len(b.inFlight) == 0 {
+		b.flowing = 0
+	}
 	t := a.target
 	b.finished.add(now)
 	if o.HasReport {
--- a/core/balancer/hedge_test.go
+++ b/core/balancer/hedge_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"poplarworks/core/decision"
 	"poplarworks/core/outcome"
 	"poplarworks/core/report"
 )
@@ -70,3 +71,24 @@
 		t.Errorf("got %d hedges, want at least one and at most %d", hedges, most)
 	}
 }
+
+// Replays the return of callers after a restart: the slots are taken and hardly a request has ended yet.
+func TestAfterAStartTheFirstToWaitAreNotRefused(t *testing.T) {
+	d := askedDriver(t, 2)
+	d.finished = rate{}
+	d.reportAll(report.Report{Slots: 3, Slowdown: 1})
+	var sent []decision.Decision
+	for range 4 {
+		sent = append(sent, d.submit(d.rule))
+	}
+	full := report.Report{Running: 3, Slots: 3, Slowdown: 1}
+	d.now = d.now.Add(100 * time.Millisecond)
+	d.reportAll(full)
+	d.finish(sent[0], outcome.Answered, 100*time.Millisecond)
+	d.reportAll(full)
+	for i := range 6 {
+		if got := d.submit(d.rule); got.Kind != decision.Wait {
+			t.Errorf("request %d: got %s, want it to wait", i+1, got.Kind)
+		}
+	}
+}
--- a/core/balancer/submit.go
+++ b/core/balancer/submit.go
@@ -80,13 +80,19 @@
 // waitAhead estimates how long a new request would wait, from the rate at which requests end.
 func (b *Balancer) waitAhead(now time.Time, queue *fairqueue.Queue, priority rule.Priority) time.Duration {
 	ahead := queue.Ahead(int(priority))
-	perSecond := b.finished.get(now)
+	perSecond := b.throughput(now)
 	if ahead == 0 || perSecond < 1 {
 		return 0
 	}
 	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
 }
 
+// throughput estimates the requests that end in a second. After a start, and at the foot of a crest, those in flight say more than
+// the few that have ended.
+func (b *Balancer) throughput(now time.Time) float64 {
+	return max(b.finished.get(now), b.flowing)
+}
+
 func (b *Balancer) refuse(now time.Time, r request.Request, c code.Code) decision.Decision {
 	return decision.Decision{ID: r.ID, Kind: decision.Refuse, Code: c, RetryAfter: b.retryAfter(now)}
 }
@@ -94,7 +100,7 @@
 // retryAfter grows with the queue and is spread at random, so that refused callers do not come back together.
 func (b *Balancer) retryAfter(now time.Time) time.Duration {
 	wait := minRetryAfter
-	if perSecond := b.finished.get(now); perSecond >= 1 {
+	if perSecond := b.throughput(now); perSecond >= 1 {
 		queued := len(b.waiting)
 		wait += time.Duration(float64(queued) / perSecond * float64(time.Second))
 	}
@@ -142,6 +148,7 @@
 	}
 	age := t.load.Age(now)
 	b.inFlight[r.ID] = a
+	b.flowing += a.perSecond()
 	t.load.Sent()
 	b.delist(t)
 	t.sent++
