--- a/entry/logsink/sink.go
+++ b/entry/logsink/sink.go
@@ -13,7 +13,7 @@
 	capacity      = 1024 // lines that may wait to be written
 	linesPerSec   = 400  // lines a second that are written; a fleet's logs must stay readable
 	burst         = 800  // lines
-	reportDropped = time.Second
+	reportEvery   = time.Second // between lines that count what was dropped
 )
 
 // Sink is a writer that queues lines and drops those that exceed its rate; its exported fields are set before Run.
@@ -23,6 +23,7 @@
 	once    sync.Once
 	lines   chan []byte
 	dropped atomic.Int64
+	pending atomic.Int64 // lines that were queued and are not written or dropped yet
 }
 
 func (s *Sink) start() {
@@ -32,9 +33,11 @@
 // Write queues one line.
 func (s *Sink) Write(line []byte) (int, error) {
 	s.start()
+	s.pending.Add(1)
 	select {
 	case s.lines <- slices.Clone(line):
 	default:
+		s.pending.Add(-1)
 		s.dropped.Add(1)
 	}
 	return len(line), nil
@@ -48,26 +51,30 @@
 		now := time.Now()
 		tokens = min(burst, tokens+now.Sub(at).Seconds()*linesPerSec)
 		at = now
-		if tokens < 1 {
+		if tokens >= 1 {
+			tokens--
+			_, _ = s.Out.Write(line) // there is nowhere to report that the log cannot be written
+		} else {
 			s.dropped.Add(1)
-			continue
 		}
-		tokens--
-		_, _ = s.Out.Write(line) // there is nowhere to report that the log cannot be written
-		if now.Sub(reported) < reportDropped {
-			continue
-		}
-		if dropped := s.dropped.Swap(0); dropped > 0 {
+		if now.Sub(reported) >= reportEvery && tokens >= 1 {
 			reported = now
-			_, _ = fmt.Fprintf(s.Out, "time=%q level=warning msg=%q dropped=%d\n", now.UTC().Format(time.RFC3339Nano), "log: Lines were dropped.", dropped)
+			s.reportDropped(now)
 		}
+		s.pending.Add(-1)
+	}
+}
+
+func (s *Sink) reportDropped(now time.Time) {
+	if dropped := s.dropped.Swap(0); dropped > 0 {
+		_, _ = fmt.Fprintf(s.Out, "time=%q level=warning msg=%q dropped=%d\n", now.UTC().Format(time.RFC3339Nano), "log: Lines were dropped.", dropped)
 	}
 }
 
 // Flush waits until the queued lines have been written, or the time is up.
 func (s *Sink) Flush(timeout time.Duration) {
 	s.start()
-	for end := time.Now().Add(timeout); len(s.lines) > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(timeout); s.pending.Load() > 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/entry/logsink/sink_test.go
+++ b/entry/logsink/sink_test.go
@@ -64,3 +64,25 @@
 		t.Errorf("got %d lines, want at most %d", got, most)
 	}
 }
+
+// slowWriter takes its time for each line.
+type slowWriter struct{ safeBuffer }
+
+func (w *slowWriter) Write(data []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	return w.safeBuffer.Write(data)
+}
+
+func TestFlushWaitsForTheLastLine(t *testing.T) {
+	out := &slowWriter{}
+	s := &Sink{Out: out}
+	go s.Run()
+	_, _ = s.Write([]byte("first\n"))
+	_, _ = s.Write([]byte("last\n"))
+	s.Flush(time.Second)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	if got, want := out.b.String(), "first\nlast\n"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
