--- a/entry/discovery/follow.go
+++ b/entry/discovery/follow.go
@@ -108,15 +108,18 @@
 	wait time.Duration
 }
 
-func (b *backoff) next() time.Duration {
-	b.wait = min(longestRetry, max(firstRetry, 2*b.wait))
+func (b *backoff) next(longest time.Duration) time.Duration {
+	b.wait = min(longest, max(firstRetry, 2*b.wait))
 	return time.Duration(float64(b.wait) * (0.8 + 0.3*rand.Float64()))
 }
 
 // pause waits for the next attempt, or until another call shows that the store answers again.
 func (k *Keeper) pause(ctx context.Context, b *backoff) {
-	failed := k.answers.Load()
-	pause.Unless(ctx, b.next(), holdOffTick, func() bool { return k.answers.Load() != failed })
+	failed, longest := k.answers.Load(), longestRetry
+	if !k.Ready() {
+		longest = unreadyRetry
+	}
+	pause.Unless(ctx, b.next(longest), holdOffTick, func() bool { return k.answers.Load() != failed })
 }
 
 func (k *Keeper) answered(b *backoff) {
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -19,6 +19,7 @@
 const (
 	firstRetry   = 250 * time.Millisecond
 	longestRetry = 2 * time.Second         // shorter than the time after an outage in which an entry may still be behind
+	unreadyRetry = 500 * time.Millisecond  // the same for an entry that cannot serve before the store answers
 	returnGrace  = 2200 * time.Millisecond // registrations that lapsed in an outage are back two seconds after it
 	outageAfter  = 1500 * time.Millisecond // without an answer, the store counts as having been away
 	graceTick    = 250 * time.Millisecond
--- a/entry/discovery/keeper_test.go
+++ b/entry/discovery/keeper_test.go
@@ -298,3 +298,17 @@
 	})
 	await(t, k, "two a b")
 }
+
+// Replays a start in the middle of an outage: callers are refused until the store's return is noticed.
+func TestAnEntryThatStartsInAnOutageIsReadySoonAfterIt(t *testing.T) {
+	f := newFake()
+	f.away = true
+	k := start(t, f)
+	time.Sleep(4 * time.Second)
+	f.with(func() { f.away = false })
+	returned := time.Now()
+	await(t, k, "one a b")
+	if got := time.Since(returned); got > time.Second {
+		t.Errorf("got ready %v after the store's return, want at most 1s", got)
+	}
+}
--- a/entry/logsink/sink.go
+++ b/entry/logsink/sink.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	capacity      = 1024 // lines that may wait to be written
-	linesPerSec   = 400  // lines a second that are written; a fleet's logs must stay readable
-	burst         = 800  // lines
-	reportEvery   = time.Second // between lines that count what was dropped
+	capacity    = 1024        // lines that may wait to be written
+	linesPerSec = 400         // lines a second that are written; a fleet's logs must stay readable
+	burst       = 800         // lines
+	reportEvery = time.Second // between lines that count what was dropped
 )
 
 // Sink is a writer that queues lines and drops those that exceed its rate; its exported fields are set before Run.
