--- a/core/askbudget/budget.go
+++ b/core/askbudget/budget.go
@@ -7,10 +7,11 @@
 
 const (
 	burst  = 8 * time.Second // of probes that may be saved up for the crest of a wave
+	start  = time.Second     // of probes that a new process has, which may be killed and started many times in a day
 	plenty = 0.3             // share of the burst below which fewer targets are asked for each request
 )
 
-// Budget is a bucket of probes that starts full; it is not safe for concurrent use.
+// Budget is a bucket of probes; it is not safe for concurrent use.
 type Budget struct {
 	perSecond float64
 	tokens    float64
@@ -20,7 +21,7 @@
 // Limit sets the rate; zero is no bound.
 func (b *Budget) Limit(now time.Time, perSecond float64) {
 	if b.at.IsZero() {
-		b.at, b.tokens = now, perSecond*burst.Seconds()
+		b.at, b.tokens = now, perSecond*start.Seconds()
 	}
 	b.fill(now)
 	b.perSecond = perSecond
--- a/core/askbudget/budget_test.go
+++ b/core/askbudget/budget_test.go
@@ -16,7 +16,7 @@
 		now = now.Add(time.Millisecond)
 		asked += b.Take(now, 4)
 	}
-	if most := int(perSecond * (seconds + burst.Seconds())); asked > most {
+	if most := int(perSecond * (seconds + start.Seconds())); asked > most {
 		t.Errorf("got %d probes, want at most %d", asked, most)
 	}
 }
@@ -34,8 +34,9 @@
 		t.Run(s.name, func(t *testing.T) {
 			b := &Budget{}
 			b.Limit(now, 100)
+			b.fill(now.Add(burst))
 			b.tokens -= float64(s.spent)
-			if got := b.Take(now, 4); got != s.want {
+			if got := b.Take(now.Add(burst), 4); got != s.want {
 				t.Errorf("got %d, want %d", got, s.want)
 			}
 		})
@@ -47,3 +48,20 @@
 		t.Errorf("got %d, want 4", got)
 	}
 }
+
+// Replays a day on which the process is killed over and over at a crest.
+func TestTheBudgetHoldsOverManyStarts(t *testing.T) {
+	const perSecond, starts, seconds = 100.0, 10, 5
+	now, asked := time.Unix(1_800_000_000, 0), 0
+	for range starts {
+		b := &Budget{}
+		b.Limit(now, perSecond)
+		for range seconds * 1000 {
+			now = now.Add(time.Millisecond)
+			asked += b.Take(now, 4)
+		}
+	}
+	if most := int(perSecond * starts * (seconds + 1)); asked > most {
+		t.Errorf("got %d probes, want at most %d", asked, most)
+	}
+}
--- a/core/balancer/ask_test.go
+++ b/core/balancer/ask_test.go
@@ -324,29 +324,53 @@
 	}
 }
 
-func TestRetriesAndHedgesShareOneBudget(t *testing.T) {
-	d := askedDriver(t, 8, func(s *service.Service) { s.ExtraRatio = 0 })
+// retryAll submits requests that the first target rejects, and returns how many were sent once more.
+func (d *driver) retryAll(requests int) int {
+	d.t.Helper()
 	extra := 0
-	for range 50 {
+	for range requests {
 		d.reportAll(report.Report{Slots: 3, Slowdown: 1})
 		sent := d.submit(d.rule)
-		again := request.Request{ID: sent.ID, Rule: &d.rule, Arrived: d.now, Deadline: d.now.Add(time.Second), Attempt: 1, Tried: []string{sent.Name}}
+		again := d.request(d.rule)
+		again.ID, again.Attempt, again.Tried = sent.ID, 1, []string{sent.Name}
 		failed := outcome.Outcome{Kind: outcome.Shed}
 		d.Finish(d.now, sent.ID, failed)
 		if next, ok := d.Retry(d.now, again, failed); ok {
 			extra++
 			if next.Kind != decision.Send {
-				t.Fatalf("got %s, want send", next.Kind)
+				d.t.Fatalf("got %s, want send", next.Kind)
 			}
 			d.finish(next, outcome.Answered, 100*time.Millisecond)
 		}
 	}
-	if want := 3; extra != want {
-		t.Errorf("got %d extra attempts, want %d", extra, want)
+	return extra
+}
+
+func TestRetriesAndHedgesShareOneBudget(t *testing.T) {
+	d := askedDriver(t, 8) // whose requests have filled the reserve
+	s := d.service
+	s.ExtraRatio = 0
+	d.Configure(d.now, s)
+	if got, want := d.retryAll(50), 3; got != want {
+		t.Errorf("got %d extra attempts, want %d", got, want)
+	}
+}
+
+// Replays targets that reject everything while the processes of the fleet are killed over and over: reserves that each new process
+// brought along would add up to far more than the fleet may spend.
+func TestNewProcessesBringNoExtraAttempts(t *testing.T) {
+	const starts, requests, ratio = 20, 10, 0.2
+	extra := 0
+	for range starts {
+		s := record(8, 3)
+		s.Asked, s.ExtraBurst, s.ExtraRatio = 4, 3, ratio
+		extra += drive(t, s).retryAll(requests)
+	}
+	if most := int(starts * requests * ratio); extra == 0 || extra > most {
+		t.Errorf("got %d extra attempts, want at least one and at most %d", extra, most)
 	}
 }
 
-// Replays a large service: each of many entries asks a part of the targets, and every target is asked by some.
 func TestSubsetsCoverAllTargets(t *testing.T) {
 	const targets, entries, size = 120, 100, 24
 	asked := map[string]int{}
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -128,7 +128,8 @@
 			b.targets = append(b.targets, t)
 		}
 	}
-	b.extra.Ratio, b.extra.Cap, b.extra.Initial = s.ExtraRatio, s.ExtraBurst, s.ExtraBurst
+	// A new process has none in reserve: the budget is the fleet's, whose processes may be started again and again.
+	b.extra.Ratio, b.extra.Cap = s.ExtraRatio, s.ExtraBurst
 	b.chooseSubset()
 	b.allot()
 	b.count()
--- a/core/service/service.go
+++ b/core/service/service.go
@@ -23,7 +23,7 @@
 	Subset      int           // targets that one entry asks; zero is all of them
 
 	ExtraRatio float64 // extra attempts for each request, over all rules; used if ExtraBurst is set
-	ExtraBurst float64 // extra attempts held in reserve by one entry; zero leaves the budgets to the rules
+	ExtraBurst float64 // most extra attempts that one entry saves up; zero leaves the budgets to the rules
 }
 
 // Target is one server of a service.
--- a/standin/backend/target.go
+++ b/standin/backend/target.go
@@ -35,6 +35,8 @@
 	Service string
 	Slots   int
 	Work    time.Duration
+	Zone    string
+	Reached string // address to register, if that is not the target's own
 	Crashed func() // called when a request has crashed the target
 
 	mu       sync.Mutex
@@ -44,6 +46,7 @@
 	running  int
 	born     time.Time
 	runs     []Execution
+	arrivals []Execution // requests that came, those included that were rejected
 	listener net.Listener
 	server   *http.Server
 }
@@ -89,12 +92,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sequence++
+	address := t.Address()
+	if t.Reached != "" {
+		address = t.Reached
+	}
 	state := "ready"
 	if t.leaving {
 		state = "draining"
 	}
 	data, err := json.Marshal(map[string]any{
-		"service": t.Service, "address": t.Address(), "zone": "dc", "configVersion": "v1", "capacity": t.Slots,
+		"service": t.Service, "address": address, "zone": t.Zone, "configVersion": "v1", "capacity": t.Slots,
 		"state": state, "warmupLeftMs": 0, "sequence": t.sequence, "born": t.born.UnixMilli(),
 	})
 	if err != nil {
@@ -110,6 +117,13 @@
 	return append([]Execution(nil), t.runs...)
 }
 
+// Arrivals returns all requests that came so far, those included that were rejected.
+func (t *Target) Arrivals() []Execution {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Execution(nil), t.arrivals...)
+}
+
 // Body is the answer to a request.
 func Body(id string) string {
 	return "answer to " + id
@@ -135,7 +149,7 @@
 	case want != "" && want != t.Name:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case faults.Shed || !t.begin(id):
+	case !t.begin(id, faults.Shed):
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -168,14 +182,17 @@
 	_, _ = io.WriteString(w, body) // a caller that has left needs no answer
 }
 
-func (t *Target) begin(id string) bool {
+// begin reports whether the request runs.
+func (t *Target) begin(id string, shed bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.running >= 2*t.Slots {
+	arrival := Execution{ID: id, At: time.Now()}
+	t.arrivals = append(t.arrivals, arrival)
+	if shed || t.running >= 2*t.Slots {
 		return false
 	}
 	t.running++
-	t.runs = append(t.runs, Execution{ID: id, At: time.Now()})
+	t.runs = append(t.runs, arrival)
 	return true
 }
 
