Soak: paths to targets and from callers, changes and stops in series, two data centres, the budget and the order of configurations

Four entries in two data centres, so that leaders and followers are both there. Faults may now cut, silence (also one way) and delay the paths from callers and to targets; kill all entries at once; stop them one after the other; write configurations, also in quick succession. New checks: extra arrivals within the fleet's budget, no planned stop cuts what runs, no process goes back behind a configuration that it served, each is in force in time where nothing else happened.

--- a/measure/soak/caller.go
+++ b/measure/soak/caller.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,21 +15,21 @@
 )
 
 const (
-	callTimeout   = 3 * time.Second
-	crashEvery    = 300 * time.Millisecond // between requests that crash the targets that run them
-	crashesKnown  = 3                      // crashes after which such a request is to be refused
-	refusedWithin = 3 * time.Second        // after the third, everywhere
-	mostLater     = 3                      // that may still reach a target
-	crashID       = "crash-calm"           // begins the ids of requests to entries to which nothing has happened for refusedWithin
+	callTimeout = 3 * time.Second
+	crashEvery  = 300 * time.Millisecond // between requests that crash the targets that run them
+	lookEvery   = 50 * time.Millisecond  // between requests on the route that was added last
+	crashID     = "crash-calm"           // begins the ids of requests to entries to which nothing has happened for refusedWithin
 )
 
 // answer is what one request came to; a status of zero stands for a connection that ended.
 type answer struct {
 	id      string
+	entry   int
 	payment bool
 	status  int
 	body    string
 	signed  bool
+	begun   time.Time
 	at      time.Time
 }
 
@@ -65,8 +64,9 @@
 type callers struct {
 	world *World
 
-	mu      sync.Mutex
-	answers []answer
+	mu       sync.Mutex
+	answers  []answer
+	breaches []string // of configurations, found on the way
 }
 
 func (c *callers) run(ctx context.Context, random *rand.Rand, name string) {
@@ -78,11 +78,13 @@
 		if payment {
 			method, path = http.MethodPost, "/fees/"+id
 		}
-		address := c.world.Callers[random.IntN(len(c.world.Callers))]
-		status, text := send(client, address, method, path, id)
+		entry, begun := random.IntN(len(c.world.Fronts)), time.Now()
+		status, text := send(client, c.world.Fronts[entry].From, method, path, id)
 		body, signature, _ := strings.Cut(text, "|")
 		c.mu.Lock()
-		c.answers = append(c.answers, answer{id: id, payment: payment, status: status, body: body, signed: signature != "", at: time.Now()})
+		c.answers = append(c.answers, answer{
+			id: id, entry: entry, payment: payment, status: status, body: body, signed: signature != "", begun: begun, at: time.Now(),
+		})
 		c.mu.Unlock()
 		time.Sleep(time.Duration(random.IntN(15)) * time.Millisecond)
 	}
@@ -93,76 +95,32 @@
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
-		entry, kind := random.IntN(len(c.world.Callers)), "crash-disturbed"
+		entry, kind := random.IntN(len(c.world.Fronts)), "crash-disturbed"
 		if c.world.calm(entry, refusedWithin) {
 			kind = crashID
 		}
-		send(client, c.world.Callers[entry], http.MethodGet, backend.CrashPath, fmt.Sprintf("%s-%s-%d", kind, name, n)) // none is answered
+		send(client, c.world.Fronts[entry].From, http.MethodGet, backend.CrashPath, fmt.Sprintf("%s-%s-%d", kind, name, n)) // none is answered
 		time.Sleep(crashEvery)
 	}
 }
 
-// checkCrashes finds requests that went on to reach targets although they were known to crash them, through entries that had time
-// enough to know. An entry that has just started or was cut off may still have to learn it.
-func checkCrashes(crashes []backend.Execution) []string {
-	slices.SortFunc(crashes, func(x, y backend.Execution) int { return x.At.Compare(y.At) })
-	later := 0
-	for _, e := range crashes {
-		if strings.HasPrefix(e.ID, crashID) && e.At.Sub(crashes[min(crashesKnown, len(crashes))-1].At) > refusedWithin {
-			later++
-		}
-	}
-	if later > mostLater {
-		return []string{fmt.Sprintf("a request reached %d targets long after it had crashed %d", later, crashesKnown)}
-	}
-	return nil
-}
-
-// checkConfigured finds entries that do not know a route of the newest configuration.
-func (c *callers) checkConfigured(prefix string) []string {
+// follow asks the entries on the route that was added last.
+func (c *callers) follow(ctx context.Context, random *rand.Rand, name string) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	var breaches []string
-	for i, address := range c.world.Callers {
-		if status, _ := send(client, address, http.MethodGet, prefix, fmt.Sprintf("configured-%d", i)); status != http.StatusOK {
-			breaches = append(breaches, fmt.Sprintf("entry %d answers %d on a route of the newest configuration", i, status))
-		}
-	}
-	return breaches
-}
-
-// check returns the promises that were broken, and how many requests were served.
-func (c *callers) check() (breaches []string, served int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.world.mu.Lock()
-	defer c.world.mu.Unlock()
-	runs := map[string]int{}
-	var crashes []backend.Execution
-	for name, t := range c.world.targets {
-		for _, e := range t.Runs() {
-			runs[e.ID]++
-			if strings.HasPrefix(e.ID, "crash") {
-				crashes = append(crashes, e)
-			}
-			if left, ok := c.world.left[name]; ok && e.At.Sub(left) > LeaveWithin {
-				breaches = append(breaches, fmt.Sprintf("request %s reached %s %s after it had said that it leaves", e.ID, name, e.At.Sub(left)))
-			}
+	watch := newConfigurationWatch(len(c.world.Fronts))
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(lookEvery)
+		entry := random.IntN(len(c.world.Fronts))
+		newest, inTouch, starts, begun := c.world.newest(), c.world.inTouch(entry, refusedWithin), c.world.starts(entry), time.Now()
+		status, _ := send(client, c.world.Fronts[entry].From, http.MethodGet, newest.prefix+"x", fmt.Sprintf("%s-%d", name, n))
+		if starts != c.world.starts(entry) {
+			continue
 		}
-	}
-	breaches = append(breaches, checkCrashes(crashes)...)
-	for _, a := range c.answers {
-		switch {
-		case a.payment && runs[a.id] > 1:
-			breaches = append(breaches, fmt.Sprintf("payment %s ran %d times", a.id, runs[a.id]))
-		case a.payment && a.status == http.StatusServiceUnavailable && runs[a.id] > 0:
-			breaches = append(breaches, fmt.Sprintf("payment %s ran, and its caller was told that it had not", a.id))
-		case a.status == http.StatusOK && (a.body != backend.Body(a.id) || !a.signed):
-			breaches = append(breaches, fmt.Sprintf("request %s got %q", a.id, a.body))
-		case a.status >= 300 && a.status < 500:
-			breaches = append(breaches, fmt.Sprintf("request %s got status %d, though it is allowed", a.id, a.status))
-		case a.status == http.StatusOK:
-			served++
+		inTouch = inTouch && c.world.inTouch(entry, refusedWithin)
+		if breach := watch.look(entry, starts, newest, status, inTouch && begun.Sub(newest.at) > applyWithin+applySlack); breach != "" {
+			c.mu.Lock()
+			c.breaches = append(c.breaches, breach)
+			c.mu.Unlock()
 		}
 	}
-	return breaches, served
 }
--- a/measure/soak/command.go
+++ b/measure/soak/command.go
@@ -8,6 +8,12 @@
 	"github.com/urfave/cli/v3"
 )
 
+// Size of a usual run.
+const (
+	EntryCount  = 4
+	TargetCount = 8
+)
+
 // Command returns the soak.
 func Command() *cli.Command {
 	return &cli.Command{
@@ -16,12 +22,17 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of runs, with seeds that follow each other"},
+			&cli.IntFlag{Name: "entries", Value: EntryCount},
+			&cli.IntFlag{Name: "targets", Value: TargetCount},
 			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "of the faults of each run"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			failed := 0
 			for i := range c.Int("seeds") {
-				run := &Run{Seed: c.Uint64("seed") + uint64(i), Duration: c.Duration("duration"), Out: c.Root().Writer}
+				run := &Run{
+					Seed: c.Uint64("seed") + uint64(i), Duration: c.Duration("duration"), Entries: c.Int("entries"), Targets: c.Int("targets"),
+					Out: c.Root().Writer,
+				}
 				breaches, served, err := run.Do(ctx)
 				if err != nil {
 					return err
