Leaders tell the list of entries; entries that are gone are taken off it

Cause: an entry with a leader read the list once, at its start. Entries that were added later got no notice of crashes from it, and it divided the budgets of extra attempts and probes among too few.

Now the news carry the list, the newer version wins, and the first entry of a data centre strikes those that neither follow it nor can be reached for five minutes, unless most are silent. One that finds itself missing enrols again. Conditional on the row's version.

--- /dev/null
+++ b/core/entrylist/list.go
@@ -0,0 +1,27 @@
+package entrylist
+
+import (
+	"slices"
+
+	"poplarworks/core/membership"
+)
+
+// List is the list as of one version of the store.
+type List struct {
+	Version uint64
+	Members []membership.Member
+}
+
+// Has reports whether the entry is listed, just as it describes itself.
+func (l List) Has(self membership.Member) bool {
+	return slices.ContainsFunc(l.Members, func(m membership.Member) bool {
+		return m.Name == self.Name && m.Peer == self.Peer && m.DataCentre == self.DataCentre && m.Bandwidth == self.Bandwidth
+	})
+}
+
+// Same reports whether both lists have the same entries, in the same order.
+func (l List) Same(other List) bool {
+	return slices.EqualFunc(l.Members, other.Members, func(x, y membership.Member) bool {
+		return x.Name == y.Name && x.Peer == y.Peer && x.DataCentre == y.DataCentre && x.Bandwidth == y.Bandwidth
+	})
+}
--- a/core/membership/members.go
+++ b/core/membership/members.go
@@ -34,7 +34,8 @@
 	Incarnation uint64
 	Revision    uint64
 	Leaving     bool
-	Listed      bool // by the platform, at the last look
+	Listed      bool   // by the platform, at the last look
+	Row         uint64 // version of its row on that list, if the list has versions
 	HeardAt     time.Time
 
 	sequence  uint64
--- a/core/news/news.go
+++ b/core/news/news.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"poplarworks/core/entrylist"
 	"poplarworks/core/registry"
 )
 
@@ -12,6 +13,7 @@
 	Version       uint64        // of the store, up to which all changes of registrations are included
 	Age           time.Duration // since the store said so
 	Registrations []registry.Change
-	Configuration []byte // as the operator wrote it; nil if it has not changed
-	Revision      uint64 // of the configuration
+	Configuration []byte          // as the operator wrote it; nil if it has not changed
+	Revision      uint64          // of the configuration
+	Entries       *entrylist.List // nil if it has not changed
 }
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -8,6 +8,7 @@
 
 	"poplarworks/core/catalog"
 	"poplarworks/core/configuration"
+	"poplarworks/core/entrylist"
 	"poplarworks/core/news"
 	"poplarworks/core/record"
 	"poplarworks/core/registry"
@@ -89,9 +90,14 @@
 	return k.failing.Load()
 }
 
-// Refresh completes the services anew, since the fleet has changed.
-func (k *Keeper) Refresh() {
-	k.update(func(time.Time) bool { return true })
+// FleetChanged completes the services anew, and tells the followers of the list of entries.
+func (k *Keeper) FleetChanged(l entrylist.List) {
+	k.update(func(now time.Time) bool {
+		if k.listed {
+			k.Publish(news.News{Version: k.targets.Version(), Age: now.Sub(k.heardAt), Entries: &l})
+		}
+		return true
+	})
 }
 
 // Revision returns the operator's number of the configuration in force.
--- a/entry/news/codec.go
+++ b/entry/news/codec.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"poplarworks/core/entrylist"
+	"poplarworks/core/membership"
 	"poplarworks/core/news"
 	"poplarworks/core/registry"
 	"poplarworks/entry/newspb"
@@ -22,6 +24,9 @@
 		Configuration: compress(n.Configuration),
 		Revision:      n.Revision,
 	}
+	if n.Entries != nil {
+		wire.Entries = entriesToWire(*n.Entries)
+	}
 	for _, c := range n.Registrations {
 		r := &newspb.Registration{Key: c.Key, Version: c.Version, Removed: c.Entry == nil}
 		if e := c.Entry; e != nil {
@@ -76,6 +81,9 @@
 		Configuration: text,
 		Revision:      wire.GetRevision(),
 	}
+	if n.Entries, err = entriesFromWire(wire.GetEntries()); err != nil {
+		return n, err
+	}
 	for _, r := range wire.GetRegistrations() {
 		c := registry.Change{Key: r.GetKey(), Version: r.GetVersion()}
 		if !r.GetRemoved() {
@@ -100,3 +108,30 @@
 	}
 	return n, nil
 }
+
+func entriesToWire(list entrylist.List) *newspb.Entries {
+	wire := &newspb.Entries{Version: list.Version}
+	for _, m := range list.Members {
+		wire.Entries = append(wire.Entries, &newspb.Entry{
+			Name: m.Name, Peer: m.Peer.String(), DataCentre: m.DataCentre, BandwidthMbit: uint32(max(0, m.Bandwidth)),
+		})
+	}
+	return wire
+}
+
+func entriesFromWire(wire *newspb.Entries) (*entrylist.List, error) {
+	if wire == nil {
+		return nil, nil
+	}
+	list := &entrylist.List{Version: wire.GetVersion()}
+	for _, e := range wire.GetEntries() {
+		peer, err := netip.ParseAddrPort(e.GetPeer())
+		if err != nil {
+			return nil, errors.Wrapf(err, "entry %s", e.GetName())
+		}
+		list.Members = append(list.Members, membership.Member{
+			Name: e.GetName(), Peer: peer, DataCentre: e.GetDataCentre(), Bandwidth: int(e.GetBandwidthMbit()), Listed: true,
+		})
+	}
+	return list, nil
+}
--- a/entry/news/news_test.go
+++ b/entry/news/news_test.go
@@ -13,6 +13,8 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"poplarworks/core/entrylist"
+	"poplarworks/core/membership"
 	"poplarworks/core/news"
 	"poplarworks/core/registry"
 	"poplarworks/entry/common"
@@ -45,6 +47,9 @@
 			}},
 			{Key: "b", Version: 4},
 		},
+		Entries: &entrylist.List{Version: 2, Members: []membership.Member{
+			{Name: "entry-1", Peer: netip.MustParseAddrPort("10.0.0.2:90"), DataCentre: "dc", Bandwidth: 100, Listed: true},
+		}},
 	}
 }
 
@@ -71,10 +76,13 @@
 }
 
 func TestNewsWithABadAddressAreRefused(t *testing.T) {
-	wire := toWire(sample(5, 0))
-	wire.Registrations[0].Address = "nowhere"
-	if _, err := fromWire(wire); err == nil {
-		t.Error("got no error, want one")
+	registration, entry := toWire(sample(5, 0)), toWire(sample(5, 0))
+	registration.Registrations[0].Address = "nowhere"
+	entry.Entries.Entries[0].Peer = "nowhere"
+	for _, wire := range []*newspb.News{registration, entry} {
+		if _, err := fromWire(wire); err == nil {
+			t.Error("got no error, want one")
+		}
 	}
 }
 
@@ -149,8 +157,11 @@
 }
 
 func TestChangesReachFollowersAndALaggardIsDropped(t *testing.T) {
-	p := &Publisher{Common: testCommon(), followers: map[chan *newspb.News]struct{}{}}
-	queue := p.enrol()
+	p := &Publisher{Common: testCommon(), followers: map[chan *newspb.News]string{}}
+	queue := p.enrol("entry-1")
+	if !p.Followed("entry-1") || p.Followed("entry-2") {
+		t.Error("got another follower than entry-1")
+	}
 	for n := range backlog + 1 {
 		p.Publish(news.News{Version: uint64(n)})
 	}
--- a/entry/news/publisher.go
+++ b/entry/news/publisher.go
@@ -24,7 +24,7 @@
 	Whole   func() (news.News, bool) // all that is known, if anything is
 
 	mu        sync.Mutex
-	followers map[chan *newspb.News]struct{}
+	followers map[chan *newspb.News]string // their names
 }
 
 // Start listens; it fails when the address cannot be used.
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	p.followers = map[chan *newspb.News]struct{}{}
+	p.followers = map[chan *newspb.News]string{}
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -65,7 +65,7 @@
 	if err := (protodelim.UnmarshalOptions{MaxSize: maxMessage}).UnmarshalFrom(bufio.NewReader(stream), follow); err != nil {
 		return
 	}
-	queue := p.enrol()
+	queue := p.enrol(follow.GetName())
 	defer p.forget(queue)
 	whole, ok := p.Whole()
 	if !ok {
@@ -80,11 +80,11 @@
 }
 
 // enrol begins to collect news for a follower, before it is told all there is, so that none is missed.
-func (p *Publisher) enrol() chan *newspb.News {
+func (p *Publisher) enrol(name string) chan *newspb.News {
 	queue := make(chan *newspb.News, backlog)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.followers[queue] = struct{}{}
+	p.followers[queue] = name
 	return queue
 }
 
@@ -109,6 +109,18 @@
 	delete(p.followers, queue)
 }
 
+// Followed reports whether the entry of that name follows this one.
+func (p *Publisher) Followed(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, follower := range p.followers {
+		if follower == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Publish tells all followers.
 func (p *Publisher) Publish(n news.News) {
 	p.mu.Lock()
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"poplarworks/core/absence"
+	"poplarworks/core/entrylist"
 	"poplarworks/core/membership"
 	"poplarworks/core/rank"
 	"poplarworks/entry/common"
@@ -14,32 +17,38 @@
 )
 
 const (
-	settle     = 400 * time.Millisecond // in which the other entries of a fleet that starts anew have enrolled, too
-	retryEvery = time.Second
-	lookEvery  = 20 * time.Second // between looks at the list of an entry that reads the store anyhow
+	settle      = 400 * time.Millisecond // in which the other entries of a fleet that starts anew have enrolled, too
+	retryEvery  = time.Second
+	lookEvery   = 20 * time.Second       // between looks at the list of an entry that reads the store anyhow
+	goneAfter   = 15                     // looks in a row, five minutes, in which an entry was silent: a VM that is restarted is back long before
+	dialTimeout = 250 * time.Millisecond // a VM of the same data centre answers within a millisecond
 )
 
 type store interface {
 	Enrol(ctx context.Context, m membership.Member) error
-	Members(ctx context.Context) ([]membership.Member, error)
+	Strike(ctx context.Context, m membership.Member) error
+	Entries(ctx context.Context) (entrylist.List, error)
 }
 
 // Roster holds the entries that have enrolled; its exported fields are set before Run.
 type Roster struct {
 	*common.Common
 	Store     store
-	Peer      netip.AddrPort // where this entry can be followed
-	Bandwidth int            // Mbit/s of this entry's link; those with wide links read for the others
-	NewFleet  bool           // all entries start for the first time
-	Reading   func() bool    // whether this entry reads the store anyhow
-	OnChanged func()         // called when the list has changed
+	Peer      netip.AddrPort         // where this entry can be followed
+	Bandwidth int                    // Mbit/s of this entry's link; those with wide links read for the others
+	NewFleet  bool                   // all entries start for the first time
+	Reading   func() bool            // whether this entry reads the store anyhow
+	Followed  func(name string) bool // whether an entry follows this one
+	OnChanged func(l entrylist.List) // called when the list has changed
 
 	mu      sync.Mutex
-	members []membership.Member
+	list    entrylist.List
+	absence absence.Counter
 }
 
 // Run enrols this entry and follows the list until the context ends.
 func (r *Roster) Run(ctx context.Context) {
+	r.absence.Looks = goneAfter
 	if !r.NewFleet {
 		r.look(ctx)
 	}
@@ -50,9 +59,21 @@
 	}
 	for ctx.Err() == nil {
 		pause.Sleep(ctx, lookEvery)
-		if r.Reading() {
-			r.look(ctx)
-		}
+		r.maintain(ctx)
+	}
+}
+
+// maintain reads the list if this entry reads the store anyhow, and mends what is wrong with it.
+func (r *Roster) maintain(ctx context.Context) {
+	if r.Reading() {
+		r.look(ctx)
+	}
+	if !r.enrolled() {
+		r.Log("roster").Warn("This entry is not on the list of entries.")
+		r.enrol(ctx)
+	}
+	if r.First() {
+		r.strike(ctx)
 	}
 }
 
@@ -74,41 +95,82 @@
 
 // look reads the list; a list that cannot be read leaves the former one.
 func (r *Roster) look(ctx context.Context) {
-	members, err := r.Store.Members(ctx)
+	list, err := r.Store.Entries(ctx)
 	if err != nil {
 		r.Log("roster").WithError(err).Warn("The list of entries cannot be read.")
 		return
 	}
+	r.Take(list)
+}
+
+// Take puts a list in force that was read here or by the leader, unless it is older than the one held.
+func (r *Roster) Take(list entrylist.List) {
 	r.mu.Lock()
-	changed := len(members) != len(r.members)
-	r.members = members
+	if list.Version < r.list.Version {
+		r.mu.Unlock()
+		return
+	}
+	changed := !list.Same(r.list)
+	r.list = list
 	r.mu.Unlock()
 	if changed {
-		r.Log("roster").WithField("entries", len(members)).Info("The list of entries has changed.")
-		r.OnChanged()
+		r.Log("roster").WithField("entries", len(list.Members)).WithField("version", list.Version).Info("The list of entries has changed.")
+		r.OnChanged(list)
 	}
 }
 
+// strike takes entries of this data centre off the list that have been silent for long, so that budgets are not divided among VMs
+// that are no more. One that was only cut off enrols again.
+func (r *Roster) strike(ctx context.Context) {
+	members := map[string]membership.Member{}
+	var names []string
+	for _, m := range r.Members() {
+		if m.DataCentre == r.Settings.DataCentre && m.Name != r.Settings.Name {
+			members[m.Name] = m
+			names = append(names, m.Name)
+		}
+	}
+	gone := r.absence.Look(names, func(name string) bool { return r.Followed(name) || reachable(ctx, members[name].Peer) })
+	for _, name := range gone {
+		err := r.Store.Strike(ctx, members[name])
+		r.Log("roster").WithError(err).WithField("entry", name).WithField("looks", goneAfter).
+			Info("An entry that has been silent is taken off the list.")
+	}
+}
+
+func reachable(ctx context.Context, peer netip.AddrPort) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	socket, err := dialer.DialContext(ctx, "tcp", peer.String())
+	if err != nil {
+		return false
+	}
+	_ = socket.Close()
+	return true
+}
+
 func (r *Roster) enrolled() bool {
+	return r.List().Has(r.self())
+}
+
+// List returns the list in force.
+func (r *Roster) List() entrylist.List {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.members, func(m membership.Member) bool {
-		return m.Name == r.Settings.Name && m.Peer == r.Peer && m.DataCentre == r.Settings.DataCentre && m.Bandwidth == r.Bandwidth
-	})
+	return entrylist.List{Version: r.list.Version, Members: slices.Clone(r.list.Members)}
 }
 
 // Members returns the entries on the list, this one included.
 func (r *Roster) Members() []membership.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Clone(r.members)
+	return slices.Clone(r.list.Members)
 }
 
 // Size returns the number of entries, or zero while it is not known.
 func (r *Roster) Size() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.members)
+	return len(r.list.Members)
 }
 
 // First reports whether the list is known and this entry comes first in its data centre.
@@ -122,13 +184,13 @@
 	defer r.mu.Unlock()
 	peers, bandwidth := map[string]netip.AddrPort{}, map[string]int{r.Settings.Name: r.Bandwidth}
 	names := []string{r.Settings.Name}
-	for _, m := range r.members {
+	for _, m := range r.list.Members {
 		if m.DataCentre == r.Settings.DataCentre && m.Name != r.Settings.Name {
 			peers[m.Name], bandwidth[m.Name] = m.Peer, m.Bandwidth
 			names = append(names, m.Name)
 		}
 	}
-	if len(r.members) == 0 {
+	if len(r.list.Members) == 0 {
 		return nil
 	}
 	ordered := rank.Order(r.Settings.DataCentre, names)
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"poplarworks/core/entrylist"
 	"poplarworks/core/membership"
 	"poplarworks/entry/common"
 	"poplarworks/entry/settings"
@@ -22,6 +24,7 @@
 type fakeStore struct {
 	mu      sync.Mutex
 	members map[string]membership.Member
+	version uint64
 	refuse  int
 	enrols  int
 }
@@ -38,12 +41,20 @@
 	return nil
 }
 
-func (f *fakeStore) Members(context.Context) ([]membership.Member, error) {
+func (f *fakeStore) Strike(_ context.Context, m membership.Member) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var list []membership.Member
+	delete(f.members, m.Name)
+	return nil
+}
+
+func (f *fakeStore) Entries(context.Context) (entrylist.List, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	list := entrylist.List{Version: f.version}
 	for _, m := range f.members {
-		list = append(list, m)
+		list.Members = append(list.Members, m)
 	}
 	return list, nil
 }
@@ -62,7 +73,8 @@
 		Common: &common.Common{
 			Settings: settings.Settings{Name: self.Name, DataCentre: self.DataCentre}, Logger: logger, Metrics: metrics.NewRegistry(),
 		},
-		Store: f, Peer: self.Peer, NewFleet: newFleet, Reading: func() bool { return false }, OnChanged: func() {},
+		Store: f, Peer: self.Peer, NewFleet: newFleet, Reading: func() bool { return false },
+		Followed: func(string) bool { return false }, OnChanged: func(entrylist.List) {},
 	}
 	go r.Run(t.Context())
 	for end := time.Now().Add(5 * time.Second); r.Size() == 0 && time.Now().Before(end); {
@@ -145,3 +157,72 @@
 		t.Errorf("got leaders %v, want entry-3 first of five", got)
 	}
 }
+
+// listOf returns the list as of a version.
+func listOf(version uint64, members ...membership.Member) entrylist.List {
+	return entrylist.List{Version: version, Members: members}
+}
+
+func TestTheNewestListIsInForce(t *testing.T) {
+	one, two := member(1, "a"), member(2, "a")
+	scenarios := []struct {
+		name string
+		then entrylist.List
+		want int
+	}{
+		{"a leader's newer list", listOf(9, one, two), 2},
+		{"a leader's older list", listOf(0, one, two), 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			r := run(t, &fakeStore{members: map[string]membership.Member{one.Name: one}}, one, false)
+			r.Take(s.then)
+			if got := r.Size(); got != s.want {
+				t.Errorf("got %d entries, want %d", got, s.want)
+			}
+		})
+	}
+}
+
+func TestAnEntryThatWasTakenOffTheListEnrolsAgain(t *testing.T) {
+	self := member(1, "a")
+	f := &fakeStore{members: map[string]membership.Member{self.Name: self}}
+	r := run(t, f, self, false)
+	r.Take(listOf(9, member(2, "a")))
+	r.maintain(t.Context())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.enrols != 1 {
+		t.Errorf("got %d rows written, want 1", f.enrols)
+	}
+}
+
+// Replays VMs that are replaced over months: only those that stay silent are taken off.
+func TestSilentEntriesAreTakenOffTheList(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	members := map[string]membership.Member{}
+	for n := range 6 {
+		m := member(n, "a")
+		m.Peer = netip.MustParseAddrPort(listener.Addr().String())
+		members[m.Name] = m
+	}
+	gone, elsewhere := member(7, "a"), member(8, "b")
+	gone.Peer, elsewhere.Peer = netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:1")
+	members[gone.Name], members[elsewhere.Name] = gone, elsewhere
+	f := &fakeStore{members: members}
+	for n := range 6 {
+		r := run(t, f, members[fmt.Sprintf("entry-%d", n)], false)
+		for range goneAfter {
+			r.maintain(t.Context())
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, held := f.members[gone.Name]; held || len(f.members) != 7 {
+		t.Errorf("got %d entries on the list, %s among them: %t; want 7 without it", len(f.members), gone.Name, held)
+	}
+}
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -139,7 +139,9 @@
 
 func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
 	var call struct {
-		Put []row `json:"put"`
+		Expected []row `json:"expected"`
+		Put      []row `json:"put"`
+		Remove   []row `json:"remove"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -147,7 +149,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, written := range call.Put {
+	for _, expected := range call.Expected {
+		held := s.rows[[2]string{expected.Table, expected.Key}]
+		if held.Deleted && expected.Ver != 0 || !held.Deleted && held.Ver != expected.Ver {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	for _, written := range append(call.Put, call.Remove...) {
 		if written.Table == "servers" || written.Table == "op" {
 			w.WriteHeader(http.StatusForbidden)
 			return
@@ -156,6 +165,9 @@
 	for _, written := range call.Put {
 		s.put(written.Table, written.Key, written.Value)
 	}
+	for _, removed := range call.Remove {
+		s.put(removed.Table, removed.Key, nil)
+	}
 	s.answer(w, nil, false)
 }
 
