--- a/entry/news/news_test.go
+++ b/entry/news/news_test.go
@@ -37,9 +37,9 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-func sample(version uint64, age time.Duration) news.News {
+func sample(age time.Duration) news.News {
 	return news.News{
-		Whole: true, Version: version, Age: age, Configuration: []byte("text"), Revision: 7,
+		Whole: true, Version: 5, Age: age, Configuration: []byte("text"), Revision: 7,
 		Registrations: []registry.Change{
 			{Key: "a", Version: 3, Entry: &registry.Entry{
 				Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "dc", Slots: 3, Leaving: true,
@@ -54,7 +54,7 @@
 }
 
 func TestNewsSurviveTheWire(t *testing.T) {
-	want := sample(5, 20*time.Millisecond)
+	want := sample(20*time.Millisecond)
 	got, err := fromWire(toWire(want))
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, %v, want %+v", got, err, want)
@@ -76,7 +76,7 @@
 }
 
 func TestNewsWithABadAddressAreRefused(t *testing.T) {
-	registration, entry := toWire(sample(5, 0)), toWire(sample(5, 0))
+	registration, entry := toWire(sample(0)), toWire(sample(0))
 	registration.Registrations[0].Address = "nowhere"
 	entry.Entries.Entries[0].Peer = "nowhere"
 	for _, wire := range []*newspb.News{registration, entry} {
@@ -148,7 +148,7 @@
 		if kind == "stale" {
 			age = time.Second
 		}
-		return sample(5, age), kind != "ignorant"
+		return sample(age), kind != "ignorant"
 	}}
 	if err := p.Start(ctx); err != nil {
 		t.Fatal(err)
