--- a/entry/news/news_test.go
+++ b/entry/news/news_test.go
@@ -54,7 +54,7 @@
 }
 
 func TestNewsSurviveTheWire(t *testing.T) {
-	want := sample(20*time.Millisecond)
+	want := sample(20 * time.Millisecond)
 	got, err := fromWire(toWire(want))
 	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, %v, want %+v", got, err, want)
