After a pause, hold requests until the records are confirmed

Entry 2 had been paused for 1.8 s while the store was away; it held requests for 150 ms after that, and its look at the slow store took 440 ms.

Now requests wait until the store, or a leader, has spoken as of a time after the wake, 0.6 s at most, since an outage may go on.

--- a/core/stall/detector.go
+++ b/core/stall/detector.go
@@ -8,6 +8,7 @@
 	Settle time.Duration // time after a pause in which news from peers is taken in
 
 	seen  time.Time
+	woke  time.Time
 	until time.Time
 	count int
 }
@@ -15,7 +16,7 @@
 // Look notes the time, and returns until when decisions should wait, or the zero time.
 func (d *Detector) Look(now time.Time) time.Time {
 	if !d.seen.IsZero() && now.Sub(d.seen) > d.Gap {
-		d.until = now.Add(d.Settle)
+		d.woke, d.until = now, now.Add(d.Settle)
 		d.count++
 	}
 	if now.After(d.seen) {
@@ -27,6 +28,11 @@
 	return time.Time{}
 }
 
+// Woke returns when the last pause was noticed, or the zero time.
+func (d *Detector) Woke() time.Time {
+	return d.woke
+}
+
 // Count returns the pauses noticed.
 func (d *Detector) Count() int {
 	return d.count
--- a/entry/discovery/keeper.go
+++ b/entry/discovery/keeper.go
@@ -100,6 +100,13 @@
 	})
 }
 
+// HeardSince reports whether the store, or a leader, has spoken as of a time after the given one.
+func (k *Keeper) HeardSince(since time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.heardAt.After(since)
+}
+
 // Revision returns the operator's number of the configuration in force.
 func (k *Keeper) Revision() uint64 {
 	k.mu.Lock()
--- a/entry/dispatch/directory.go
+++ b/entry/dispatch/directory.go
@@ -27,7 +27,8 @@
 type Directory struct {
 	*common.Common
 	NewPicker func(random *rand.Rand) balancer.Picker
-	Reask     func(s *Service) // asks some targets for their load while requests wait; may be nil
+	Reask     func(s *Service)           // asks some targets for their load while requests wait; may be nil
+	Heard     func(since time.Time) bool // whether the records were confirmed since then, which a pause makes necessary; may be nil
 
 	stall    stallGuard
 	changed  chan struct{}
@@ -44,6 +45,7 @@
 // Start prepares the directory; call it before anything else.
 func (d *Directory) Start() {
 	d.changed = make(chan struct{}, 1)
+	d.stall.heard = d.Heard
 }
 
 // Run puts planned stops in force as their time comes, until the context ends.
--- a/entry/dispatch/service.go
+++ b/entry/dispatch/service.go
@@ -61,7 +61,7 @@
 
 // Submit returns the decision to send or to refuse, after a wait if need be.
 func (s *Service) Submit(ctx context.Context, r request.Request) decision.Decision {
-	s.stall.wait(ctx, s.Now())
+	s.stall.wait(ctx, s.Now)
 	s.mu.Lock()
 	d := s.balancer.Submit(s.Now(), r)
 	s.noteLong()
@@ -140,7 +140,7 @@
 
 // Confirm reports whether the request may still be sent to the target that it was given.
 func (s *Service) Confirm(ctx context.Context, id uint64) bool {
-	s.stall.wait(ctx, s.Now())
+	s.stall.wait(ctx, s.Now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.balancer.Confirm(id)
--- a/entry/dispatch/stall.go
+++ b/entry/dispatch/stall.go
@@ -6,25 +6,30 @@
 	"time"
 
 	"poplarworks/core/stall"
+	"poplarworks/entry/pause"
 )
 
 const (
-	stallGap    = 4 * stopInterval
-	stallSettle = 150 * time.Millisecond
+	stallGap     = 4 * stopInterval
+	stallSettle  = 150 * time.Millisecond
+	stallLongest = 600 * time.Millisecond // a look at a slow store takes 400 ms; while the store is away requests must go on
+	stallTick    = 5 * time.Millisecond
 )
 
-// stallGuard holds requests back for a moment after this process was paused: peers' notices that came meanwhile, such as
-// that a target is leaving, lie unread in its sockets.
+// stallGuard holds requests back for a moment after this process was paused: what happened meanwhile, such as that a target is
+// leaving, lies unread in its sockets or has still to be asked for.
 type stallGuard struct {
+	heard func(since time.Time) bool // whether the records were confirmed since then; nil if that need not be awaited
+
 	mu       sync.Mutex
 	detector stall.Detector
 }
 
-func (g *stallGuard) look(now time.Time) time.Time {
+func (g *stallGuard) look(now time.Time) (until, woke time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.detector.Gap, g.detector.Settle = stallGap, stallSettle
-	return g.detector.Look(now)
+	return g.detector.Look(now), g.detector.Woke()
 }
 
 func (g *stallGuard) count(now time.Time) int {
@@ -35,15 +40,17 @@
 }
 
 // wait returns at once unless the process has just been paused.
-func (g *stallGuard) wait(ctx context.Context, now time.Time) {
-	until := g.look(now)
-	if until.IsZero() {
-		return
+func (g *stallGuard) wait(ctx context.Context, clock func() time.Time) {
+	for ctx.Err() == nil && g.holds(clock()) {
+		pause.Sleep(ctx, stallTick)
 	}
-	timer := time.NewTimer(until.Sub(now))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+}
+
+func (g *stallGuard) holds(now time.Time) bool {
+	until, woke := g.look(now)
+	if !until.IsZero() {
+		return true
 	}
+	recent := !woke.IsZero() && now.Sub(woke) < stallLongest
+	return recent && g.heard != nil && !g.heard(woke)
 }
