--- /dev/null
+++ b/entry/commandline/doc.go
@@ -0,0 +1,2 @@
+// Package commandline is what the command lines of both compositions of the entry have in common.
+package commandline
--- a/entry/common/common.go
+++ b/entry/common/common.go
@@ -3,10 +3,13 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"poplarworks/core/invariant"
+	"poplarworks/entry/logformat"
+	"poplarworks/entry/logsink"
 	"poplarworks/entry/settings"
 )
 
@@ -24,6 +27,24 @@
 	Incarnation uint64             // differs between two runs of the same entry; a later run has a higher one
 }
 
+// New returns what a process carries that logs to the sink.
+func New(parsed settings.Settings, sink *logsink.Sink) (*Common, error) {
+	level, err := logrus.ParseLevel(parsed.LogLevel)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	logger := logrus.New()
+	logger.SetOutput(sink)
+	logger.SetLevel(level)
+	logger.SetFormatter(logformat.New())
+	return &Common{
+		Settings:    parsed,
+		Logger:      logger,
+		Metrics:     metrics.NewRegistry(),
+		Incarnation: uint64(time.Now().UnixNano()),
+	}, nil
+}
+
 // Log returns the log of one part.
 func (c *Common) Log(part string) *logrus.Entry {
 	return c.Logger.WithField("part", part)
--- a/entry/news/follower.go
+++ b/entry/news/follower.go
@@ -12,6 +12,7 @@
 
 	"poplarworks/core/news"
 	"poplarworks/entry/common"
+	"poplarworks/entry/mux"
 	"poplarworks/entry/newspb"
 	"poplarworks/entry/pause"
 )
@@ -58,7 +59,7 @@
 	if err != nil {
 		return false
 	}
-	session, err := yamux.Client(socket, sessionConfig())
+	session, err := yamux.Client(socket, mux.Config(writeTimeout))
 	if err != nil {
 		_ = socket.Close()
 		return false
--- a/entry/news/publisher.go
+++ b/entry/news/publisher.go
@@ -12,6 +12,7 @@
 
 	"poplarworks/core/news"
 	"poplarworks/entry/common"
+	"poplarworks/entry/mux"
 	"poplarworks/entry/newspb"
 )
 
@@ -49,7 +50,7 @@
 }
 
 func (p *Publisher) serve(ctx context.Context, socket net.Conn) {
-	session, err := yamux.Server(socket, sessionConfig())
+	session, err := yamux.Server(socket, mux.Config(writeTimeout))
 	if err != nil {
 		_ = socket.Close()
 		return
--- a/entry/peer/link.go
+++ b/entry/peer/link.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -14,6 +13,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"poplarworks/entry/mux"
 	"poplarworks/entry/peerpb"
 )
 
@@ -71,15 +71,6 @@
 	}
 }
 
-func yamuxConfig() *yamux.Config {
-	config := yamux.DefaultConfig()
-	config.EnableKeepAlive = false
-	config.ConnectionWriteTimeout = writeTimeout
-	config.StreamOpenTimeout = writeTimeout
-	config.LogOutput = io.Discard
-	return config
-}
-
 func (l *link) dial(ctx context.Context) (*yamux.Session, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	socket, err := dialer.DialContext(ctx, "tcp", l.address.String())
@@ -94,7 +85,7 @@
 		}
 		socket = tls.Client(socket, config)
 	}
-	session, err := yamux.Client(&meteredConn{Conn: socket, mesh: l.mesh}, yamuxConfig())
+	session, err := yamux.Client(&meteredConn{Conn: socket, mesh: l.mesh}, mux.Config(writeTimeout))
 	if err != nil {
 		_ = socket.Close()
 		return nil, err
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -16,6 +16,7 @@
 	"poplarworks/core/quarantine"
 	"poplarworks/core/record"
 	"poplarworks/entry/claimwire"
+	"poplarworks/entry/mux"
 	"poplarworks/entry/peerpb"
 	"poplarworks/entry/tlsfiles"
 )
@@ -51,7 +52,7 @@
 		if err != nil {
 			return
 		}
-		session, err := yamux.Server(&meteredConn{Conn: socket, mesh: m}, yamuxConfig())
+		session, err := yamux.Server(&meteredConn{Conn: socket, mesh: m}, mux.Config(writeTimeout))
 		if err != nil {
 			_ = socket.Close()
 			continue
--- a/entry/peer/version_test.go
+++ b/entry/peer/version_test.go
@@ -22,6 +22,7 @@
 	"poplarworks/core/record"
 	"poplarworks/entry/common"
 	"poplarworks/entry/dispatch"
+	"poplarworks/entry/mux"
 	"poplarworks/entry/peerpb"
 	"poplarworks/entry/settings"
 	"poplarworks/entry/vmlist"
@@ -56,7 +57,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = socket.Close() })
-	session, err := yamux.Client(socket, yamuxConfig())
+	session, err := yamux.Client(socket, mux.Config(writeTimeout))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/prober/prober.go
+++ b/entry/prober/prober.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"time"
 
@@ -11,6 +10,7 @@
 	"poplarworks/core/service"
 	"poplarworks/entry/common"
 	"poplarworks/entry/dispatch"
+	"poplarworks/entry/reach"
 	"poplarworks/entry/relay"
 )
 
@@ -134,7 +134,7 @@
 	}
 	go func() {
 		staying := false
-		reachable := reachable(ctx, address)
+		reachable := reach.Dial(ctx, address, probeTimeout)
 		if reachable && probe {
 			signs, err := p.ask(ctx, s, name, address)
 			staying = err == nil && !signs.Draining
@@ -143,16 +143,6 @@
 	}()
 }
 
-func reachable(ctx context.Context, address netip.AddrPort) bool {
-	dialer := net.Dialer{Timeout: probeTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", address.String())
-	if err != nil {
-		return false
-	}
-	_ = socket.Close()
-	return true
-}
-
 func (p *Prober) ask(ctx context.Context, s *dispatch.Service, name string, address netip.AddrPort) (relay.Signs, error) {
 	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- /dev/null
+++ b/entry/reach/doc.go
@@ -0,0 +1,2 @@
+// Package reach tells whether another process can be reached at all.
+package reach
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -14,6 +13,7 @@
 	"poplarworks/core/rank"
 	"poplarworks/entry/common"
 	"poplarworks/entry/pause"
+	"poplarworks/entry/reach"
 )
 
 const (
@@ -130,7 +130,7 @@
 			names = append(names, m.Name)
 		}
 	}
-	gone := r.absence.Look(names, func(name string) bool { return r.Followed(name) || reachable(ctx, members[name].Peer) })
+	gone := r.absence.Look(names, func(name string) bool { return r.Followed(name) || reach.Dial(ctx, members[name].Peer, dialTimeout) })
 	for _, name := range gone {
 		err := r.Store.Strike(ctx, members[name])
 		r.Log("roster").WithError(err).WithField("entry", name).WithField("looks", goneAfter).
@@ -138,16 +138,6 @@
 	}
 }
 
-func reachable(ctx context.Context, peer netip.AddrPort) bool {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", peer.String())
-	if err != nil {
-		return false
-	}
-	_ = socket.Close()
-	return true
-}
-
 func (r *Roster) enrolled() bool {
 	return r.List().Has(r.self())
 }
