--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -132,9 +132,12 @@
 	}
 	gone := r.absence.Look(names, func(name string) bool { return r.Followed(name) || reach.Dial(ctx, members[name].Peer, dialTimeout) })
 	for _, name := range gone {
-		err := r.Store.Strike(ctx, members[name])
-		r.Log("roster").WithError(err).WithField("entry", name).WithField("looks", goneAfter).
-			Info("An entry that has been silent is taken off the list.")
+		log := r.Log("roster").WithField("entry", name).WithField("looks", goneAfter)
+		if err := r.Store.Strike(ctx, members[name]); err != nil {
+			log.WithError(err).Warn("An entry that has been silent cannot be taken off the list yet.")
+			continue
+		}
+		log.Info("An entry that has been silent is taken off the list.")
 	}
 }
 
