--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -154,9 +154,7 @@
 
 // Members returns the entries on the list, this one included.
 func (r *Roster) Members() []membership.Member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Clone(r.list.Members)
+	return r.List().Members
 }
 
 // Size returns the number of entries, or zero while it is not known.
