Log among how many entries a rate limit is divided

The log line of a target that names a limit says how many sharers and which turn the entry assumes, so that entries that disagree can be told from turns that come together.

--- a/core/balancer/rate_limit.go
+++ b/core/balancer/rate_limit.go
@@ -26,6 +26,17 @@
 	return changed
 }
 
+// RateSharers returns the number of entries among which this one divides the rate limit of a target, and the position of
+// its own turn in a round of all of them, from 0 to 1.
+func (b *Balancer) RateSharers(name string) (entries int, position float64) {
+	i, ok := b.byName[name]
+	if !ok {
+		return 0, 0
+	}
+	share := &b.targets[i].rateShare
+	return share.Entries, share.Position
+}
+
 func (t *target) setRateLimit(now time.Time, l ratelimit.Limit) {
 	t.rateLimited, t.rateLimitAt = l.Named, now
 	t.rateShare.PerSecond = l.PerSecond
--- a/entry/loadprobe/prober.go
+++ b/entry/loadprobe/prober.go
@@ -127,15 +127,18 @@
 
 // recordRateLimit passes on the rate limit that a target named in its response to a probe.
 func (p *Prober) recordRateLimit(s *dispatch.Service, target string, l ratelimit.Limit) {
-	changed := false
-	s.WithBalancer(func(b *balancer.Balancer, now time.Time) { changed = b.RecordRateLimit(now, target, l) })
+	changed, sharers, position := false, 0, 0.0
+	s.WithBalancer(func(b *balancer.Balancer, now time.Time) {
+		changed = b.RecordRateLimit(now, target, l)
+		sharers, position = b.RateSharers(target)
+	})
 	if !changed {
 		return
 	}
 	log := p.Log("probes").WithField("service", s.Record().Name).WithField("target", target)
 	if l.Named {
 		p.Counter("rate-limits.named").Inc(1)
-		log.WithField("per-second", l.PerSecond).Info("A target limits its request rate.")
+		log.WithField("per-second", l.PerSecond).WithField("sharers", sharers).WithField("position", position).Info("A target limits its request rate.")
 		return
 	}
 	p.Counter("rate-limits.ended").Inc(1)
