Give turns to the entries that share a rate-limited target

Cause: turns were spread over the names of all 122 entries, and their number over an estimate of those that use a target of a subset. The entries that use it are mostly those of its data centre, whose names and turns are next to each other, so they all came within a quarter of a round; and 30 of them shared what was divided by 24. Change: each entry computes the subsets of all entries from the list and the targets, both of which it knows, and divides the limit among exactly those that use the target, with evenly spaced turns. An entry outside has no share. The subset is computed over the targets that are neither removed nor leaving, on all entries alike.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -56,6 +56,7 @@
 	freeTargets         []int    // indices of targets where this entry has a free slot in its own share
 	active              []string // sorted names of the entries that send to the service, including this one
 	scratch             view     // reused, so that picking a target does not allocate
+	rateSharers         rateSharers
 	extraBudget         budget.Share
 	saturation          saturation
 	skipProbesUntil     time.Time // end of the time in which targets are not probed because they report no load
--- a/core/balancer/driver_test.go
+++ b/core/balancer/driver_test.go
@@ -50,9 +50,15 @@
 }
 
 func drive(t *testing.T, s service.Service) *driver {
+	return driveEntry(t, service.Entry{}, s)
+}
+
+// driveEntry returns a driver for one entry of several.
+func driveEntry(t *testing.T, self service.Entry, s service.Service) *driver {
 	random := rand.New(rand.NewPCG(1, 2))
 	d := &driver{
 		Balancer: &Balancer{
+			Self: self.Name, DataCentre: self.DataCentre,
 			Picker: &powerofd.Picker{Choices: 5, Random: random},
 			Random: random,
 			Check:  &invariant.Checker{Fail: func(breach string) { t.Fatal(breach) }},
--- a/core/balancer/loadprobe_test.go
+++ b/core/balancer/loadprobe_test.go
@@ -388,7 +388,9 @@
 		local := 0
 		for _, target := range b.subset {
 			coverage[target.record.Name]++
-			local += b.localRank(target)
+			if target.record.DataCentre == b.DataCentre {
+				local++
+			}
 		}
 		if want := size * 2 / 3; local != want {
 			t.Fatalf("got %d targets of this data centre, want %d", local, want)
--- a/core/balancer/rate_limit.go
+++ b/core/balancer/rate_limit.go
@@ -11,7 +11,6 @@
 const (
 	rateLimitCheckInterval = time.Second // a target at its limit is probed this often, to learn when the limit changes
 	minProbes              = 2           // for one request, however many targets have reached their limit
-	sharersMargin          = 1.25        // of the number of entries whose subset has a target
 )
 
 // RecordRateLimit records the rate limit that a target has just named, or that it names none. It reports whether the
@@ -21,8 +20,13 @@
 	if !ok {
 		return false
 	}
-	changed = b.targets[i].rateLimited != l.Named
-	b.targets[i].setRateLimit(now, l)
+	t := b.targets[i]
+	changed = t.rateLimited != l.Named
+	t.setRateLimit(now, l)
+	if changed && l.Named {
+		b.updateRateSharers()
+		b.assignRateShare(t)
+	}
 	return changed
 }
 
@@ -33,8 +37,7 @@
 	if !ok {
 		return 0, 0
 	}
-	share := &b.targets[i].rateShare
-	return share.Entries, share.Position
+	return b.targets[i].rateShare.Entries, b.targets[i].rateShare.Position
 }
 
 func (t *target) setRateLimit(now time.Time, l ratelimit.Limit) {
@@ -44,7 +47,7 @@
 
 // withinRateLimit reports whether this entry may send the target a request within its share of the target's rate limit.
 func (t *target) withinRateLimit(now time.Time) bool {
-	return !t.rateLimited || t.rateShare.Available(now)
+	return !t.rateLimited || t.sharesRateLimit && t.rateShare.Available(now)
 }
 
 // limitProbes lowers the number of probes for one request by the share of targets that have reached their rate limit. The
@@ -63,21 +66,6 @@
 	return min(limit, max(minProbes, int(math.Ceil(share*float64(limit)))))
 }
 
-// assignRateShares divides the rate limits of the targets among the entries that send to them. If each entry uses only a
-// subset of the targets, their number is estimated.
-func (b *Balancer) assignRateShares() {
-	entries := max(1, b.service.Entries)
-	sharers := entries
-	if size := b.service.MaxProbedTargets; size > 0 && len(b.targets) > size {
-		share := float64(size) / float64(len(b.targets))
-		sharers = min(entries, int(math.Ceil(sharersMargin*share*float64(entries))))
-	}
-	for _, t := range b.targets {
-		t.rateShare.Entries = sharers
-		_, t.rateShare.Position = math.Modf(float64(b.service.EntryPosition)/float64(entries) + float64(hashName(t.record.Name))/(math.MaxUint32+1))
-	}
-}
-
 // rateLimitWait returns how long the request would wait because of rate limits, and true, if all open targets have
 // reached theirs.
 func (b *Balancer) rateLimitWait(now time.Time, r request.Request) (time.Duration, bool) {
@@ -90,6 +78,9 @@
 		if t.withinRateLimit(now) {
 			return 0, false
 		}
+		if !t.sharesRateLimit {
+			continue
+		}
 		soonest = min(soonest, t.rateShare.Wait(now))
 		perSecond += t.rateShare.PerSecond / float64(t.rateShare.Entries)
 	}
--- a/core/balancer/rate_limit_test.go
+++ b/core/balancer/rate_limit_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -28,9 +29,10 @@
 func newLimitedFleet(t *testing.T, entries int, s service.Service) *limitedFleet {
 	f := &limitedFleet{sent: map[string][]time.Time{}}
 	for i := range entries {
-		own := s
-		own.Entries, own.EntryPosition = entries, i
-		f.entries = append(f.entries, drive(t, own))
+		s.Entries = append(s.Entries, service.Entry{Name: fmt.Sprintf("e%02d", i)})
+	}
+	for _, e := range s.Entries {
+		f.entries = append(f.entries, driveEntry(t, e, s))
 	}
 	return f
 }
--- a/core/balancer/subset.go
+++ b/core/balancer/subset.go
@@ -1,9 +1,8 @@
 package balancer
 
 import (
-	"slices"
-
 	"poplarworks/core/rank"
+	"poplarworks/core/service"
 )
 
 // maxLocalShare is the share of a subset that comes from this entry's own data centre, if it has that many targets.
@@ -12,40 +11,57 @@
 const maxLocalShare = 2.0 / 3
 
 // chooseSubset limits this entry to a subset of the targets of a large service, so that it holds few connections and
-// uses them often. Each entry ranks the targets by a hash that includes its own name, so that the targets are spread
-// evenly over the subsets.
+// uses them often.
 func (b *Balancer) chooseSubset() {
-	b.subset = b.subset[:0]
-	size := b.service.MaxProbedTargets
-	if size <= 0 || len(b.targets) <= size {
-		b.subset = append(b.subset, b.targets...)
+	candidates := b.subsetCandidates()
+	if !b.usesSubset(candidates) {
+		b.subset = append(b.subset[:0], b.targets...)
 		return
 	}
-	names := make([]string, 0, len(b.targets))
+	b.subset = b.subset[:0]
+	for _, c := range chooseSubset(service.Entry{Name: b.Self, DataCentre: b.DataCentre}, candidates, b.service.MaxProbedTargets) {
+		b.subset = append(b.subset, b.targets[b.byName[c.Name]])
+	}
+}
+
+// subsetCandidates returns the targets that may be in a subset.
+func (b *Balancer) subsetCandidates() []subsetCandidate {
+	candidates := make([]subsetCandidate, 0, len(b.targets))
 	for _, t := range b.targets {
 		if !t.removed && !t.record.Leaving {
-			names = append(names, t.record.Name)
+			candidates = append(candidates, subsetCandidate{Name: t.record.Name, DataCentre: t.record.DataCentre})
 		}
 	}
-	var remote []*target
+	return candidates
+}
+
+// usesSubset reports whether the service has more targets than one entry uses.
+func (b *Balancer) usesSubset(candidates []subsetCandidate) bool {
+	return b.service.MaxProbedTargets > 0 && len(candidates) > b.service.MaxProbedTargets
+}
+
+// subsetCandidate is what decides on whether a target is in the subset of an entry.
+type subsetCandidate struct {
+	Name       string
+	DataCentre string
+}
+
+// chooseSubset returns the subset of an entry. Each entry ranks the targets by a hash that includes its own name, so that
+// the targets are spread evenly over the subsets.
+func chooseSubset(entry service.Entry, candidates []subsetCandidate, size int) []subsetCandidate {
 	maxLocal := int(maxLocalShare * float64(size))
-	for _, name := range rank.Order(b.Self, names) {
-		t := b.targets[b.byName[name]]
-		if t.record.DataCentre == b.DataCentre && len(b.subset) < maxLocal {
-			b.subset = append(b.subset, t)
-		} else {
-			remote = append(remote, t)
+	var subset, otherLocal, remote []subsetCandidate
+	for _, c := range rank.OrderFunc(entry.Name, candidates, func(c subsetCandidate) string { return c.Name }) {
+		switch {
+		case c.DataCentre != entry.DataCentre:
+			remote = append(remote, c)
+		case len(subset) < maxLocal:
+			subset = append(subset, c)
+		default:
+			otherLocal = append(otherLocal, c)
 		}
 	}
 	// Targets of other data centres come first, so that a data centre with many targets does not fill the subset alone.
-	slices.SortStableFunc(remote, func(x, y *target) int { return b.localRank(x) - b.localRank(y) })
-	b.subset = append(b.subset, remote[:min(len(remote), size-len(b.subset))]...)
-}
-
-// localRank sorts targets of this entry's data centre after the others.
-func (b *Balancer) localRank(t *target) int {
-	if t.record.DataCentre == b.DataCentre {
-		return 1
-	}
-	return 0
+	others := append(remote, otherLocal...)
+	return append(subset, others[:min(len(others), size-len(subset))]...)
 }
--- a/core/balancer/target.go
+++ b/core/balancer/target.go
@@ -56,6 +56,7 @@
 	peersLongInFlight int
 	longInFlight      int  // long requests of this entry in flight
 	rateLimited       bool // the target has named a limit of its request rate
+	sharesRateLimit   bool // this entry is among those that the rate limit is divided among
 	rateLimitAt       time.Time
 	rateShare         rateshare.Share
 
--- a/core/rank/order_test.go
+++ b/core/rank/order_test.go
@@ -41,3 +41,11 @@
 		}
 	}
 }
+
+// Entries of different builds run side by side and must agree on the order.
+func TestOrderIsThatOfEarlierBuilds(t *testing.T) {
+	want := []string{"entry-2", "entry-0", "entry-3", "entry-1", "entry-5", "entry-4"}
+	if got := Order("dc", names(6)); !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/core/service/service.go
+++ b/core/service/service.go
@@ -11,8 +11,8 @@
 	Targets          []Target
 	Slots            int           // requests that one target runs concurrently
 	Connections      int           // connections that one target accepts, from all entries together
-	Entries          int           // entries that send to the service; zero means that this one is alone
-	EntryPosition    int           // position of this entry among them, from zero
+	Entries          []Entry       // all entries, sorted by name; empty while they are not known
+	AssumedEntries   int           // number of entries to assume while they are not known; zero means that this one is alone
 	MaxEntries       int           // largest number of entries, among which the limits are divided
 	ConnectCost      time.Duration // time that a new connection costs the target
 	ProbePath        string        // path of the load probe; empty turns probes off
@@ -40,6 +40,12 @@
 	Unconfirmed  bool      // may have stopped, so it gets requests only while it reports that it is healthy
 }
 
+// Entry is one of the entries that send to the targets.
+type Entry struct {
+	Name       string
+	DataCentre string
+}
+
 // ProbesPerEntry returns how many probes per second one entry may send to one target.
 func (s Service) ProbesPerEntry() int {
 	if s.ProbePath == "" || s.ProbeCost <= 0 || s.MaxEntries <= 0 {
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"poplarworks/core/entrylist"
 	"poplarworks/core/membership"
 	"poplarworks/core/rank"
+	"poplarworks/core/service"
 	"poplarworks/entry/common"
 	"poplarworks/entry/pause"
 	"poplarworks/entry/reach"
@@ -171,16 +173,14 @@
 	return len(r.list.Members)
 }
 
-// Position returns the number of entries on the list and the position of this one among them by name. Both are zero while
-// the list is not known.
-func (r *Roster) Position() (entries, position int) {
+// Entries returns the entries on the list, sorted by name. It returns none while the list is not known.
+func (r *Roster) Entries() []service.Entry {
+	var entries []service.Entry
 	for _, m := range r.Members() {
-		entries++
-		if m.Name < r.Settings.Name {
-			position++
-		}
+		entries = append(entries, service.Entry{Name: m.Name, DataCentre: m.DataCentre})
 	}
-	return entries, position
+	slices.SortFunc(entries, func(x, y service.Entry) int { return strings.Compare(x.Name, y.Name) })
+	return entries
 }
 
 // IsLeader reports whether the list is known and no entry of this data centre comes before this one.
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 
 	"poplarworks/core/entrylist"
 	"poplarworks/core/membership"
+	"poplarworks/core/service"
 	"poplarworks/entry/common"
 	"poplarworks/entry/settings"
 )
@@ -184,11 +186,12 @@
 	}
 }
 
-func TestPositionIsByName(t *testing.T) {
+func TestEntriesAreSortedByName(t *testing.T) {
 	one, two, three := member(1, "a"), member(2, "b"), member(3, "a")
 	r := run(t, &fakeStore{members: map[string]membership.Member{one.Name: one, two.Name: two, three.Name: three}}, two, false)
-	if entries, position := r.Position(); entries != 3 || position != 1 {
-		t.Errorf("got position %d of %d entries, want 1 of 3", position, entries)
+	want := []service.Entry{{Name: one.Name, DataCentre: "a"}, {Name: two.Name, DataCentre: "b"}, {Name: three.Name, DataCentre: "a"}}
+	if got := r.Entries(); !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
 	}
 }
 
