Order versions of the store by its era

What callers saw: after the store was restored from a copy, a confirmed configuration was not in force, and routes that had been added got 404 (CONFIG, DENIED). Cause: a restored store gives its versions out again. Versions were compared as plain numbers: a configuration whose number was not above that in force was ignored, a listing was taken for older than what was known, and a feed that continued from a version left out what the restored store had written up to it. Change: a version has the era of the store, from the header Store-Era, before its number (core/storeversion). A feed continues only within its era, otherwise the table is read as after a lost history. Leaders tell the era in new fields of their updates; those of an older era are ignored and do not count as fresh. After a restore the registrations get the grace of an outage, and a removed target comes back only with an entry that was written after the one that it had. The configuration of the copy does not replace a newer one while the operator writes again (core/confighistory), and what the operator writes then is taken whatever its number.

--- a/core/configuration/text.go
+++ b/core/configuration/text.go
@@ -1,7 +1,9 @@
 package configuration
 
+import "poplarworks/core/storeversion"
+
 // Text is the undecoded text of a configuration.
 type Text struct {
-	Revision uint64 // position in the order of all writes
-	Value    []byte // the text as the operator wrote it
+	Revision storeversion.Version // position in the order of all writes
+	Value    []byte               // the text as the operator wrote it
 }
--- a/core/entrylist/list.go
+++ b/core/entrylist/list.go
@@ -4,11 +4,12 @@
 	"slices"
 
 	"poplarworks/core/membership"
+	"poplarworks/core/storeversion"
 )
 
 // List is the list of entries as of one version of the store.
 type List struct {
-	Version uint64
+	Version storeversion.Version
 	Members []membership.Member
 }
 
--- a/core/registry/change.go
+++ b/core/registry/change.go
@@ -3,12 +3,14 @@
 import (
 	"net/netip"
 	"time"
+
+	"poplarworks/core/storeversion"
 )
 
 // Change is one version of a target's registration as the store ordered it.
 type Change struct {
 	Key          string
-	Version      uint64
+	Version      storeversion.Version
 	Registration *Registration // nil if the registration was removed or could not be decoded
 }
 
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"poplarworks/core/service"
+	"poplarworks/core/storeversion"
 )
 
 // Registry holds the newest version of every registration. It is not safe for concurrent use.
@@ -15,13 +16,13 @@
 	RecoveryGrace time.Duration
 
 	registrations map[string]*registration
-	version       uint64
+	version       storeversion.Version
 	returnedAt    time.Time
 }
 
 // registration is the state of one key.
 type registration struct {
-	version      uint64
+	version      storeversion.Version
 	entry        *Registration // last valid entry; after a removal it is kept until the grace period ends
 	leaving      bool          // once set, it stays set for the incarnation
 	removed      bool
@@ -30,7 +31,7 @@
 }
 
 // Version returns the version up to which all changes have been applied.
-func (r *Registry) Version() uint64 {
+func (r *Registry) Version() storeversion.Version {
 	return r.version
 }
 
@@ -39,8 +40,12 @@
 	r.returnedAt = now
 }
 
-// Apply applies all changes up to the version. It returns those that change more than the liveness of a target.
-func (r *Registry) Apply(now time.Time, changes []Change, version uint64) []Change {
+// Apply applies all changes up to the version. It returns those that change more than the liveness of a target. Changes
+// of another era of the store than that of the registrations are ignored, since they do not continue from these.
+func (r *Registry) Apply(now time.Time, changes []Change, version storeversion.Version) []Change {
+	if version.Era() != r.version.Era() {
+		return nil
+	}
 	var significant []Change
 	for _, c := range changes {
 		if r.apply(now, c) {
@@ -65,8 +70,14 @@
 }
 
 // Replace applies a full listing as of the version. Registrations that are missing from it are removed, unless the
-// listing is older than the current version.
-func (r *Registry) Replace(now time.Time, listing []Change, version uint64) {
+// listing is older than the current version. After a restore of the store, targets register again as after an outage.
+func (r *Registry) Replace(now time.Time, listing []Change, version storeversion.Version) {
+	if version.Era() < r.version.Era() {
+		return
+	}
+	if version.Era() > r.version.Era() && r.version > 0 {
+		r.StoreRecovered(now)
+	}
 	listed := map[string]bool{}
 	for _, c := range listing {
 		listed[c.Key] = true
@@ -100,10 +111,14 @@
 		r.remove(now, reg, c.Version)
 		return true
 	}
+	restored := c.Version.Era() > reg.version.Era()
 	reg.version = c.Version
 	if reg.entry != nil && reg.entry.newerThan(c.Registration) {
 		return false
 	}
+	if restored && reg.removed && reg.entry != nil && !c.Registration.newerThan(reg.entry) {
+		return false // the copy from which the store was restored is older than the removal
+	}
 	significant := reg.entry == nil || reg.removed || !reg.entry.equalExceptLiveness(c.Registration)
 	sameIncarnation := reg.entry != nil && reg.entry.Started.Equal(c.Registration.Started) && reg.entry.Address == c.Registration.Address
 	reg.leaving = c.Registration.Leaving || sameIncarnation && reg.leaving
@@ -137,7 +152,7 @@
 
 // remove marks the registration as removed. It keeps the entry for a grace period only shortly after an outage of the
 // store, since targets could not renew their registrations during the outage.
-func (r *Registry) remove(now time.Time, reg *registration, version uint64) {
+func (r *Registry) remove(now time.Time, reg *registration, version storeversion.Version) {
 	reg.version = version
 	if reg.removed {
 		return
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"testing"
 	"time"
+
+	"poplarworks/core/storeversion"
 )
 
 var (
@@ -75,7 +77,7 @@
 	scenarios := []struct {
 		name    string
 		listing []Change
-		version uint64
+		version storeversion.Version
 		want    string
 	}{
 		{"a listing without the target", nil, 9, "absent"},
@@ -138,3 +140,46 @@
 		}
 	}
 }
+
+// Guards against versions of a store that was restored from a copy being taken for those of before, or the reverse.
+func TestRegistrationsAfterARestoreOfTheStore(t *testing.T) {
+	v := storeversion.New
+	scenarios := []struct {
+		name  string
+		apply func(r *Registry)
+		want  string
+	}{
+		{"the copy has an older entry", func(r *Registry) { r.Replace(begin, []Change{{"k", v(2, 3), entry(2)}}, v(2, 3)) }, "there leaving"},
+		{"the target writes again", func(r *Registry) { r.Replace(begin, []Change{{"k", v(2, 3), entry(9, leaving)}}, v(2, 3)) }, "there leaving"},
+		{"another incarnation", func(r *Registry) { r.Replace(begin, []Change{{"k", v(2, 3), entry(1, restarted)}}, v(2, 3)) }, "there"},
+		{"the copy lacks the entry", func(r *Registry) { r.Replace(begin, nil, v(2, 3)) }, "there leaving doubtful"},
+		{"a listing of the old era arrives last", func(r *Registry) {
+			r.Replace(begin, []Change{{"k", v(2, 3), entry(1, restarted)}}, v(2, 3))
+			r.Replace(begin, nil, v(1, 99))
+		}, "there"},
+		{"changes of the old era arrive last", func(r *Registry) {
+			r.Replace(begin, []Change{{"k", v(2, 3), entry(1, restarted)}}, v(2, 3))
+			r.Apply(begin, []Change{{"k", v(1, 99), nil}}, v(1, 99))
+		}, "there"},
+		{"changes of the new era without a listing", func(r *Registry) { r.Apply(begin, []Change{{"k", v(2, 3), nil}}, v(2, 3)) }, "there leaving"},
+		{"removed, then in the copy", func(r *Registry) {
+			r.Apply(begin, []Change{{"k", v(1, 8), nil}}, v(1, 8))
+			r.Replace(begin, []Change{{"k", v(2, 3), entry(5, leaving)}}, v(2, 3))
+		}, "absent"},
+		{"removed, then in the copy, then registered again", func(r *Registry) {
+			r.Apply(begin, []Change{{"k", v(1, 8), nil}}, v(1, 8))
+			r.Replace(begin, []Change{{"k", v(2, 3), entry(5, leaving)}}, v(2, 3))
+			r.Apply(begin, []Change{{"k", v(2, 4), entry(1, restarted)}}, v(2, 4))
+		}, "there"},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			r := &Registry{RecoveryGrace: 2 * time.Second}
+			r.Replace(begin, []Change{{"k", v(1, 7), entry(5, leaving)}}, v(1, 7))
+			s.apply(r)
+			if got := visibleState(r, begin.Add(time.Second)); got != s.want {
+				t.Errorf("got %s, want %s", got, s.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/storeversion/doc.go
@@ -0,0 +1,2 @@
+// Package storeversion orders the versions of a store that may be restored from a copy.
+package storeversion
--- a/entry/discovery/follow.go
+++ b/entry/discovery/follow.go
@@ -8,13 +8,14 @@
 	"github.com/cockroachdb/errors"
 
 	"poplarworks/core/configuration"
+	"poplarworks/core/storeversion"
 	"poplarworks/entry/pause"
 )
 
 // watchConfiguration reads the configuration and then waits for newer ones. It pauses while a leader's updates are
 // fresh, or while the store cannot be read.
 func (k *Watcher) watchConfiguration(ctx context.Context) {
-	after, hasVersion := uint64(0), false
+	after, hasVersion := storeversion.Version(0), false
 	retry := backoff{}
 	for ctx.Err() == nil {
 		if k.leaderFresh() || k.failing.Load() {
@@ -22,16 +23,20 @@
 			pause.Sleep(ctx, leaderCheckInterval)
 			continue
 		}
+		hasVersion = hasVersion && after.Era() >= k.era()
 		var t *configuration.Text
-		var version uint64
+		var version storeversion.Version
 		var err error
 		if hasVersion {
 			t, version, err = k.waitForConfiguration(ctx, after)
 		} else {
 			t, version, err = k.Source.Configuration(ctx)
 		}
+		if hasVersion && (errors.Is(err, ErrHistoryDropped) || after.Era() < k.era()) {
+			hasVersion = false
+			continue
+		}
 		if err != nil {
-			hasVersion = hasVersion && !errors.Is(err, ErrHistoryDropped)
 			k.recordFailure("configuration", err)
 			k.waitBeforeRetry(ctx, &retry)
 			continue
@@ -45,9 +50,24 @@
 	}
 }
 
+// era returns the era of the store in which the targets were read.
+func (k *Watcher) era() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.targets.Version().Era()
+}
+
+// interruptWait cancels the call that waits for a new configuration, if there is one.
+func (k *Watcher) interruptWait() {
+	if cancel := k.cancelWait.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // waitForConfiguration waits for the store to return a new configuration. The wait is cancelled when a poll of the
-// targets fails: the same fault may have cut off this call as well, which would then hang until its timeout.
-func (k *Watcher) waitForConfiguration(ctx context.Context, after uint64) (*configuration.Text, uint64, error) {
+// targets fails: the same fault may have cut off this call as well, which would then hang until its timeout. It is also
+// cancelled when the store has been restored, since the version for which it waits may mean something else now.
+func (k *Watcher) waitForConfiguration(ctx context.Context, after storeversion.Version) (*configuration.Text, storeversion.Version, error) {
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	k.cancelWait.Store(&cancel)
@@ -64,9 +84,7 @@
 		}
 		if err := k.pollTargets(ctx); err != nil {
 			k.failing.Store(true)
-			if cancel := k.cancelWait.Load(); cancel != nil {
-				(*cancel)()
-			}
+			k.interruptWait()
 			k.recordFailure("targets", err)
 			k.waitBeforeRetry(ctx, &retry)
 			continue
--- a/entry/discovery/watcher.go
+++ b/entry/discovery/watcher.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"poplarworks/core/catalog"
+	"poplarworks/core/confighistory"
 	"poplarworks/core/configuration"
 	"poplarworks/core/entrylist"
 	"poplarworks/core/record"
 	"poplarworks/core/registry"
 	"poplarworks/core/service"
 	"poplarworks/core/storeupdate"
+	"poplarworks/core/storeversion"
 	"poplarworks/entry/common"
 	"poplarworks/entry/pause"
 )
@@ -43,6 +45,7 @@
 	OnChange             func(c *catalog.Catalog)   // Called after each change, one call at a time.
 	CompleteService      func(s *service.Service)   // Completes a service that the configuration names.
 	Publish              func(n storeupdate.Update) // Sends an update to the followers, one call at a time.
+	OnRestore            func()                     // Called when the store has been restored from a copy; must not block. May be nil.
 
 	current    atomic.Pointer[catalog.Catalog]
 	failing    atomic.Bool                        // The last poll of the targets failed; the configuration is not read meanwhile.
@@ -51,7 +54,7 @@
 
 	mu              sync.Mutex
 	config          *configuration.Configuration
-	text            configuration.Text           // Text from which config was decoded.
+	history         confighistory.History        // Holds the text from which config was decoded.
 	rules           *catalog.Catalog             // Rules of rulesSource, kept to avoid rebuilding them.
 	rulesSource     *configuration.Configuration // Configuration from which rules was built.
 	targets         registry.Registry
@@ -81,10 +84,10 @@
 
 // ConfigurationRevision returns the revision of the configuration in force: its place in the order of all writes to the
 // store.
-func (k *Watcher) ConfigurationRevision() uint64 {
+func (k *Watcher) ConfigurationRevision() storeversion.Version {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.text.Revision
+	return k.history.Current().Revision
 }
 
 // StoreFailing reports whether the last poll of the targets failed.
@@ -124,7 +127,7 @@
 	k.mu.Lock()
 	k.targets.RecoveryGrace = recoveryGrace
 	k.mu.Unlock()
-	go k.expireRegistrations(ctx)
+	go k.expireDelays(ctx)
 	pause.Until(ctx, k.StartDelay, conditionCheckInterval, func() bool { return k.leaderFresh() || k.IsLeader() })
 	go k.watchConfiguration(ctx)
 	k.watchTargets(ctx)
@@ -146,13 +149,14 @@
 	if k.config == nil || !k.hasListing || k.Now().Sub(k.updatedAt) >= k.MaxStaleness {
 		return storeupdate.Update{}, false
 	}
+	text := k.history.Current()
 	return storeupdate.Update{
 		Full:          true,
 		Version:       k.targets.Version(),
 		Age:           k.Now().Sub(k.updatedAt),
 		Registrations: k.targets.List(),
-		Configuration: k.text.Value,
-		Revision:      k.text.Revision,
+		Configuration: text.Value,
+		Revision:      text.Revision,
 	}, true
 }
 
@@ -162,7 +166,9 @@
 		k.Configure(configuration.Text{Revision: n.Revision, Value: n.Configuration})
 	}
 	asOf := k.Now().Add(-n.Age)
-	k.apply(asOf, n.Registrations, n.Version, n.Full)
+	if !k.apply(asOf, n.Registrations, n.Version, n.Full) {
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if asOf.After(k.leaderUpdatedAt) {
@@ -171,9 +177,22 @@
 }
 
 // apply puts registrations in force that the store or a leader returned as of the given time, and publishes them to the
-// followers. If snapshot is set, they replace all registrations held.
-func (k *Watcher) apply(asOf time.Time, changes []registry.Change, version uint64, snapshot bool) {
+// followers. If snapshot is set, they replace all registrations held. It reports false if it ignored them, since they are
+// from before the last restore of the store, or do not continue from what is held.
+func (k *Watcher) apply(asOf time.Time, changes []registry.Change, version storeversion.Version, snapshot bool) bool {
+	accepted, restored := false, false
 	k.update(func(now time.Time) bool {
+		held := k.targets.Version()
+		if version.Era() < held.Era() || version.Era() > held.Era() && !snapshot {
+			k.Counter("discovery.other-era").Inc(1)
+			k.Log("discovery").WithField("version", version).WithField("held", held).Info("Ignored registrations of another era of the store.")
+			return false
+		}
+		accepted, restored = true, k.hasListing && version.Era() > held.Era()
+		if restored {
+			k.Counter("discovery.restores").Inc(1)
+			k.Log("discovery").WithField("version", version).WithField("held", held).Warn("The store was restored from a copy.")
+		}
 		k.noteRecovery(now, asOf)
 		if snapshot {
 			k.targets.Replace(now, changes, version)
@@ -184,6 +203,13 @@
 		k.Publish(storeupdate.Update{Full: snapshot, Version: version, Age: now.Sub(asOf), Registrations: changes})
 		return snapshot || len(changes) > 0
 	})
+	if restored {
+		k.interruptWait()
+		if k.OnRestore != nil {
+			k.OnRestore()
+		}
+	}
+	return accepted
 }
 
 // noteRecovery starts a grace period if the store responds again after an outage, so that targets whose registrations
@@ -201,9 +227,9 @@
 // Configure puts a configuration in force if it is newer than the current one.
 func (k *Watcher) Configure(t configuration.Text) {
 	k.mu.Lock()
-	outdated := t.Revision <= k.text.Revision
+	newer := k.history.Newer(t.Revision)
 	k.mu.Unlock()
-	if outdated {
+	if !newer {
 		return
 	}
 	c, err := k.Decode(t)
@@ -212,22 +238,57 @@
 		k.Log("discovery").WithError(err).WithField("revision", t.Revision).Error("Rejected a configuration that could not be decoded.")
 		return
 	}
-	k.update(func(time.Time) bool {
-		if k.config != nil && (c.Revision <= k.config.Revision || c.Number <= k.config.Number) {
+	k.update(func(now time.Time) bool {
+		switch k.history.Consider(now, t, c.Number) {
+		case confighistory.Apply:
+			k.putInForce(c)
+			return true
+		case confighistory.Confirm:
+			k.publishConfiguration()
+		case confighistory.Defer:
+			k.Log("discovery").WithField("number", c.Number).WithField("revision", c.Revision).WithField("in-force", k.config.Number).
+				Warn("The restored store has an older configuration; keeping the one in force for now.")
+		case confighistory.Ignore:
+		}
+		return false
+	})
+}
+
+// putInForce replaces the configuration by the history's current one. It is called with the lock held.
+func (k *Watcher) putInForce(c *configuration.Configuration) {
+	k.config = c
+	k.Log("discovery").WithField("number", c.Number).WithField("revision", c.Revision).
+		WithField("rules", len(c.Rules)).Info("Applied a new configuration.")
+	k.publishConfiguration()
+}
+
+func (k *Watcher) publishConfiguration() {
+	t := k.history.Current()
+	k.Publish(storeupdate.Update{Version: k.targets.Version(), Age: k.Now().Sub(k.updatedAt), Configuration: t.Value, Revision: t.Revision})
+}
+
+// applyDeferred applies an older configuration that the restored store still has after a delay.
+func (k *Watcher) applyDeferred() {
+	k.update(func(now time.Time) bool {
+		t, due := k.history.Due(now)
+		if !due {
+			return false
+		}
+		c, err := k.Decode(t)
+		if err != nil { // It could be decoded before.
+			k.Log("discovery").WithError(err).WithField("revision", t.Revision).Error("Rejected a configuration that could not be decoded.")
 			return false
 		}
-		k.config, k.text = c, t
-		k.Log("discovery").WithField("number", c.Number).WithField("revision", c.Revision).
-			WithField("rules", len(c.Rules)).Info("Applied a new configuration.")
-		k.Publish(storeupdate.Update{Version: k.targets.Version(), Age: k.Now().Sub(k.updatedAt), Configuration: t.Value, Revision: t.Revision})
+		k.putInForce(c)
 		return true
 	})
 }
 
-// expireRegistrations drops registrations whose grace period has ended.
-func (k *Watcher) expireRegistrations(ctx context.Context) {
+// expireDelays drops registrations whose grace period has ended, and applies configurations whose delay has passed.
+func (k *Watcher) expireDelays(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.Sleep(ctx, graceCheckInterval)
+		k.applyDeferred()
 		k.mu.Lock()
 		expiring := k.targets.HasPendingGrace(k.Now().Add(-2 * graceCheckInterval))
 		k.mu.Unlock()
@@ -255,7 +316,7 @@
 // buildCatalog returns the catalogue of the current rules and targets. It is called with the lock held.
 func (k *Watcher) buildCatalog(now time.Time) *catalog.Catalog {
 	if k.rulesSource != k.config {
-		k.rules, k.rulesSource = rulesCatalog(k.config), k.config
+		k.rules, k.rulesSource = rulesCatalog(k.config, k.revision), k.config
 	}
 	targets := k.targets.Services(now)
 	records := make([]record.Record, 0, len(k.config.Services))
@@ -270,11 +331,11 @@
 
 // rulesCatalog returns the catalogue of a configuration's rules. It is built once per configuration, since there may be
 // thousands of rules and the targets change far more often.
-func rulesCatalog(c *configuration.Configuration) *catalog.Catalog {
+func rulesCatalog(c *configuration.Configuration, revision uint64) *catalog.Catalog {
 	records := make([]record.Record, 0, len(c.Rules))
 	for i := range c.Rules {
 		r := &c.Rules[i]
-		records = append(records, record.Record{Key: record.Key{Kind: record.KindRule, Name: r.Name}, Revision: c.Revision, Rule: r})
+		records = append(records, record.Record{Key: record.Key{Kind: record.KindRule, Name: r.Name}, Revision: revision, Rule: r})
 	}
 	return catalog.FromRecords(records)
 }
--- a/entry/discovery/watcher_test.go
+++ b/entry/discovery/watcher_test.go
@@ -18,6 +18,7 @@
 	"poplarworks/core/rule"
 	"poplarworks/core/service"
 	"poplarworks/core/storeupdate"
+	"poplarworks/core/storeversion"
 	"poplarworks/entry/common"
 )
 
@@ -42,26 +43,26 @@
 	change()
 }
 
-func (f *fakeStore) read() ([]registry.Change, uint64, error) {
+func (f *fakeStore) read() ([]registry.Change, storeversion.Version, error) {
 	f.calls++
 	if f.unavailable {
 		return nil, 0, errUnavailable
 	}
-	newest := uint64(0)
+	newest := storeversion.Version(0)
 	for _, c := range f.changes {
 		newest = max(newest, c.Version)
 	}
 	return append([]registry.Change(nil), f.changes...), newest, nil
 }
 
-func (f *fakeStore) Targets(context.Context) ([]registry.Change, uint64, error) {
+func (f *fakeStore) Targets(context.Context) ([]registry.Change, storeversion.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listings++
 	return f.read()
 }
 
-func (f *fakeStore) Changes(context.Context, uint64) ([]registry.Change, uint64, error) {
+func (f *fakeStore) Changes(context.Context, storeversion.Version) ([]registry.Change, storeversion.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.historyDropped {
@@ -71,7 +72,7 @@
 	return f.read()
 }
 
-func (f *fakeStore) Configuration(context.Context) (*configuration.Text, uint64, error) {
+func (f *fakeStore) Configuration(context.Context) (*configuration.Text, storeversion.Version, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
@@ -81,7 +82,9 @@
 	return f.text, f.text.Revision, nil
 }
 
-func (f *fakeStore) NextConfiguration(ctx context.Context, after uint64, _ time.Duration) (*configuration.Text, uint64, error) {
+func (f *fakeStore) NextConfiguration(
+	ctx context.Context, after storeversion.Version, _ time.Duration,
+) (*configuration.Text, storeversion.Version, error) {
 	time.Sleep(5 * time.Millisecond)
 	f.mu.Lock()
 	if f.hanging {
@@ -102,9 +105,9 @@
 	return f.text, f.text.Revision, nil
 }
 
-func registration(key string, version uint64, leaving bool) registry.Change {
+func registration(key string, version storeversion.Version, leaving bool) registry.Change {
 	return registry.Change{Key: key, Version: version, Registration: &registry.Registration{
-		Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 3, Sequence: version, Leaving: leaving,
+		Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 3, Sequence: version.Number(), Leaving: leaving,
 	}}
 }
 
@@ -114,7 +117,7 @@
 		return nil, errors.New("bad")
 	}
 	return &configuration.Configuration{
-		Revision: t.Revision, Number: t.Revision,
+		Revision: t.Revision, Number: t.Revision.Number(),
 		Rules:    []rule.Rule{{Name: string(t.Value), Service: "s"}},
 		Services: []service.Service{{Name: "s"}},
 	}, nil
@@ -222,7 +225,8 @@
 	k := start(t, f)
 	await(t, k, "one a b")
 	for n := range 10 {
-		k.Receive(storeupdate.Update{Version: uint64(20 + n), Registrations: []registry.Change{registration("c", uint64(20+n), false)}})
+		version := storeversion.Version(20 + n)
+		k.Receive(storeupdate.Update{Version: version, Registrations: []registry.Change{registration("c", version, false)}})
 		time.Sleep(20 * time.Millisecond)
 	}
 	before := 0
@@ -271,7 +275,7 @@
 	f := newFakeStore()
 	k := start(t, f, func(k *Watcher) { k.ConfigurationDelay = pause })
 	await(t, k, "one a b")
-	started, revision := time.Now(), uint64(10)
+	started, revision := time.Now(), storeversion.Version(10)
 	for ; time.Since(started) < length; revision++ {
 		f.locked(func() { f.text = &configuration.Text{Revision: revision, Value: []byte("next")} })
 		time.Sleep(5 * time.Millisecond)
@@ -315,3 +319,44 @@
 		t.Errorf("got ready %v after the store recovered, want at most 1s", got)
 	}
 }
+
+// Guards against updates of a leader that has not noticed the restore of the store.
+func TestUpdatesFromBeforeARestoreAreIgnored(t *testing.T) {
+	f := newFakeStore()
+	f.changes, f.text.Revision = []registry.Change{registration("a", storeversion.New(2, 1), false)}, storeversion.New(2, 1)
+	k := start(t, f)
+	await(t, k, "one a")
+	old := storeversion.New(1, 50)
+	k.Receive(storeupdate.Update{Version: old, Registrations: []registry.Change{registration("b", old, false)}})
+	k.Receive(storeupdate.Update{Full: true, Version: old, Configuration: []byte("old"), Revision: old})
+	if got, want := state(k), "one a"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if !k.ReadsStore() {
+		t.Error("got a fresh leader, want the entry to read the store itself")
+	}
+}
+
+// Guards against changes that are applied to the registrations of another era, from which they do not continue.
+func TestAFollowerTakesANewEraOnlyWithAllRegistrations(t *testing.T) {
+	f := newFakeStore()
+	restores := 0
+	k := start(t, f, func(k *Watcher) { k.OnRestore = func() { restores++ } })
+	await(t, k, "one a b")
+	f.locked(func() { f.unavailable = true })
+	time.Sleep(20 * time.Millisecond)
+	next := storeversion.New(1, 2)
+	k.Receive(storeupdate.Update{Version: next, Registrations: []registry.Change{registration("c", next, false)}})
+	if got, want := state(k), "one a b"; got != want {
+		t.Errorf("after changes alone: got %q, want %q", got, want)
+	}
+	k.Receive(storeupdate.Update{Full: true, Version: next, Registrations: []registry.Change{
+		registration("a", next, false), registration("b", next, false), registration("c", next, false),
+	}})
+	if got, want := state(k), "one a b c"; got != want {
+		t.Errorf("after all registrations: got %q, want %q", got, want)
+	}
+	if restores != 1 {
+		t.Errorf("got %d restores, want 1", restores)
+	}
+}
--- a/entry/replication/codec.go
+++ b/entry/replication/codec.go
@@ -13,6 +13,7 @@
 	"poplarworks/core/membership"
 	"poplarworks/core/registry"
 	"poplarworks/core/storeupdate"
+	"poplarworks/core/storeversion"
 	"poplarworks/entry/newspb"
 )
 
@@ -20,16 +21,18 @@
 func encode(n storeupdate.Update) *newspb.News {
 	wire := &newspb.News{
 		Whole:         n.Full,
-		Version:       n.Version,
+		Version:       n.Version.Number(),
+		Era:           n.Version.Era(),
 		AgeMs:         uint32(n.Age.Milliseconds()),
 		Configuration: compress(n.Configuration),
-		Revision:      n.Revision,
+		Revision:      n.Revision.Number(),
+		RevisionEra:   n.Revision.Era(),
 	}
 	if n.Entries != nil {
 		wire.Entries = encodeEntries(*n.Entries)
 	}
 	for _, c := range n.Registrations {
-		r := &newspb.Registration{Key: c.Key, Version: c.Version, Removed: c.Registration == nil}
+		r := &newspb.Registration{Key: c.Key, Version: c.Version.Number(), Removed: c.Registration == nil}
 		if e := c.Registration; e != nil {
 			r.Service, r.Address, r.DataCentre = e.Service, e.Address.String(), e.DataCentre
 			r.Slots, r.Leaving, r.Sequence = uint32(e.Slots), e.Leaving, e.Sequence
@@ -79,16 +82,16 @@
 	}
 	n := storeupdate.Update{
 		Full:          wire.GetWhole(),
-		Version:       wire.GetVersion(),
+		Version:       storeversion.New(wire.GetEra(), wire.GetVersion()),
 		Age:           time.Duration(wire.GetAgeMs()) * time.Millisecond,
 		Configuration: text,
-		Revision:      wire.GetRevision(),
+		Revision:      storeversion.New(wire.GetRevisionEra(), wire.GetRevision()),
 	}
 	if n.Entries, err = decodeEntries(wire.GetEntries()); err != nil {
 		return n, err
 	}
 	for _, r := range wire.GetRegistrations() {
-		c := registry.Change{Key: r.GetKey(), Version: r.GetVersion()}
+		c := registry.Change{Key: r.GetKey(), Version: storeversion.New(wire.GetEra(), r.GetVersion())}
 		if !r.GetRemoved() {
 			address, err := netip.ParseAddrPort(r.GetAddress())
 			if err != nil {
@@ -113,7 +116,7 @@
 }
 
 func encodeEntries(list entrylist.List) *newspb.Entries {
-	wire := &newspb.Entries{Version: list.Version}
+	wire := &newspb.Entries{Version: list.Version.Number(), Era: list.Version.Era()}
 	for _, m := range list.Members {
 		wire.Entries = append(wire.Entries, &newspb.Entry{
 			Name: m.Name, Peer: m.Peer.String(), DataCentre: m.DataCentre, BandwidthMbit: uint32(max(0, m.Bandwidth)),
@@ -126,7 +129,7 @@
 	if wire == nil {
 		return nil, nil
 	}
-	list := &entrylist.List{Version: wire.GetVersion()}
+	list := &entrylist.List{Version: storeversion.New(wire.GetEra(), wire.GetVersion())}
 	for _, e := range wire.GetEntries() {
 		peer, err := netip.ParseAddrPort(e.GetPeer())
 		if err != nil {
--- a/entry/replication/follower.go
+++ b/entry/replication/follower.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"poplarworks/core/storeupdate"
+	"poplarworks/core/storeversion"
 	"poplarworks/entry/common"
 	"poplarworks/entry/mux"
 	"poplarworks/entry/newspb"
@@ -28,10 +29,10 @@
 // Follower receives updates from a leader, another entry of the data centre. Its exported fields are set before Run.
 type Follower struct {
 	*common.Common
-	Leaders               func() []netip.AddrPort    // Returns the entries that come before this one, in order of preference.
-	MaxStaleness          time.Duration              // Maximum staleness: the longest time that a leader's updates may lag behind the store.
-	Receive               func(n storeupdate.Update) // Called with each update.
-	ConfigurationRevision func() uint64              // Returns the revision of the configuration that this entry has.
+	Leaders               func() []netip.AddrPort     // Returns the entries that come before this one, in order of preference.
+	MaxStaleness          time.Duration               // Maximum staleness: the longest time that a leader's updates may lag behind the store.
+	Receive               func(n storeupdate.Update)  // Called with each update.
+	ConfigurationRevision func() storeversion.Version // Returns the revision of the configuration that this entry has.
 }
 
 // Run follows the first leader that sends fresh updates, until the context ends.
@@ -71,7 +72,10 @@
 	if err != nil {
 		return false
 	}
-	follow := &newspb.Follow{Name: f.Settings.Name, Incarnation: f.Incarnation, Revision: f.ConfigurationRevision()}
+	revision := f.ConfigurationRevision()
+	follow := &newspb.Follow{
+		Name: f.Settings.Name, Incarnation: f.Incarnation, Revision: revision.Number(), RevisionEra: revision.Era(),
+	}
 	_ = stream.SetDeadline(f.Now().Add(f.MaxStaleness)) // An error means that the stream is closed; the write reports it.
 	if _, err := protodelim.MarshalTo(stream, follow); err != nil {
 		return false
--- a/entry/replication/publisher.go
+++ b/entry/replication/publisher.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"poplarworks/core/storeupdate"
+	"poplarworks/core/storeversion"
 	"poplarworks/entry/common"
 	"poplarworks/entry/mux"
 	"poplarworks/entry/newspb"
@@ -74,7 +75,7 @@
 		return
 	}
 	p.Log("news").WithField("follower", follow.GetName()).Info("A follower connected.")
-	if follow.GetRevision() >= snapshot.Revision {
+	if storeversion.New(follow.GetRevisionEra(), follow.GetRevision()) >= snapshot.Revision {
 		snapshot.Configuration = nil
 	}
 	p.sendUpdates(session, stream, queue, encode(snapshot))
--- a/entry/replication/replication_test.go
+++ b/entry/replication/replication_test.go
@@ -17,6 +17,7 @@
 	"poplarworks/core/membership"
 	"poplarworks/core/registry"
 	"poplarworks/core/storeupdate"
+	"poplarworks/core/storeversion"
 	"poplarworks/entry/common"
 	"poplarworks/entry/newspb"
 )
@@ -39,15 +40,15 @@
 
 func sample(age time.Duration) storeupdate.Update {
 	return storeupdate.Update{
-		Full: true, Version: 5, Age: age, Configuration: []byte("text"), Revision: 7,
+		Full: true, Version: storeversion.New(2, 5), Age: age, Configuration: []byte("text"), Revision: storeversion.New(1, 7),
 		Registrations: []registry.Change{
-			{Key: "a", Version: 3, Registration: &registry.Registration{
+			{Key: "a", Version: storeversion.New(2, 3), Registration: &registry.Registration{
 				Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "dc", Slots: 3, Leaving: true,
 				WarmupRemaining: time.Second, Sequence: 9, Started: time.UnixMilli(1_800_000_000_123),
 			}},
-			{Key: "b", Version: 4},
+			{Key: "b", Version: storeversion.New(2, 4)},
 		},
-		Entries: &entrylist.List{Version: 2, Members: []membership.Member{
+		Entries: &entrylist.List{Version: storeversion.New(2, 2), Members: []membership.Member{
 			{Name: "entry-1", Peer: netip.MustParseAddrPort("10.0.0.2:90"), DataCentre: "dc", Bandwidth: 100, Listed: true},
 		}},
 	}
@@ -112,12 +113,12 @@
 				Common: testCommon(), MaxStaleness: 300 * time.Millisecond,
 				Leaders:               func() []netip.AddrPort { return leaders },
 				Receive:               func(n storeupdate.Update) { received <- n },
-				ConfigurationRevision: func() uint64 { return 0 },
+				ConfigurationRevision: func() storeversion.Version { return 0 },
 			}
 			go f.Run(ctx)
 			select {
 			case n := <-received:
-				if !s.want || n.Version != 5 {
+				if !s.want || n.Version != storeversion.New(2, 5) {
 					t.Errorf("got version %d, want an update: %t", n.Version, s.want)
 				}
 			case <-time.After(1500 * time.Millisecond):
@@ -165,7 +166,7 @@
 		t.Error("got a follower other than entry-1")
 	}
 	for n := range maxQueuedUpdates + 1 {
-		p.Publish(storeupdate.Update{Version: uint64(n)})
+		p.Publish(storeupdate.Update{Version: storeversion.Version(n)})
 	}
 	count := 0
 	for range queue {
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -18,6 +18,7 @@
 	"poplarworks/core/entrylist"
 	"poplarworks/core/membership"
 	"poplarworks/core/service"
+	"poplarworks/core/storeversion"
 	"poplarworks/entry/common"
 	"poplarworks/entry/settings"
 )
@@ -26,7 +27,7 @@
 type fakeStore struct {
 	mu       sync.Mutex
 	members  map[string]membership.Member
-	version  uint64
+	version  storeversion.Version
 	failures int
 	writes   int
 }
@@ -161,7 +162,7 @@
 }
 
 // newList returns a list of the given version and members.
-func newList(version uint64, members ...membership.Member) entrylist.List {
+func newList(version storeversion.Version, members ...membership.Member) entrylist.List {
 	return entrylist.List{Version: version, Members: members}
 }
 
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -34,6 +35,7 @@
 	faults       Faults
 	rows         map[[2]string]row // by table and key; deleted rows stay as tombstones
 	version      uint64
+	restores     uint64
 	historyStart uint64 // changes up to this version are no longer available
 	calls        int
 }
@@ -74,12 +76,35 @@
 	s.historyStart = s.version
 }
 
+// Backup is a copy of the rows of a store.
+type Backup struct {
+	rows    map[[2]string]row
+	version uint64
+}
+
+// Backup returns a copy of all rows.
+func (s *Store) Backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Backup{rows: maps.Clone(s.rows), version: s.version}
+}
+
+// Restore replaces all rows by those of the copy. What was written since is lost, and its versions are given out again.
+func (s *Store) Restore(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version = maps.Clone(b.rows), b.version
+	s.historyStart = min(s.historyStart, s.version)
+	s.restores++
+}
+
 // ServeHTTP serves one call of the store API.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	faults := s.faults
 	s.calls++
 	s.mu.Unlock()
+	w.Header().Set("Store-Era", s.era())
 	if faults.Hang {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
@@ -101,6 +126,13 @@
 	}
 }
 
+// era returns the number of the store's era, which starts at one and grows with each restore.
+func (s *Store) era() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strconv.FormatUint(s.restores+1, 10)
+}
+
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	limit := parseNumber(query.Get("limit"), 500)
@@ -120,7 +152,7 @@
 	deadline := time.Now().Add(time.Duration(parseNumber(query.Get("waitMs"), 0)) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if after < s.historyStart {
+		if after < s.historyStart || after > s.version {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -182,6 +214,7 @@
 }
 
 func (s *Store) writeRows(w http.ResponseWriter, rows []row, more bool) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.restores+1, 10)) // it may have been restored while the call waited
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{ // the client may have closed the connection
 		"rows": rows, "hasMore": more, "ver": s.version, "nowMs": time.Now().UnixMilli(),
