Enrol an entry again if a restored store has lost its row

What callers saw: not seen by callers; found by looking for the same cause elsewhere. The fleet's budgets and the rate limits of targets are divided among the entries on the list, and notices of crashes go to these alone. Cause: an entry relied on its row as acknowledged and checked it every 20 s. When the store was restored from a copy without the rows of entries that had just been added, the others dropped these from their lists. Change: the watcher tells the roster of a restore. Leaders read the list at once and tell it as the store has it; an entry that is missing enrols again, and entries that were on the list before stay in force until the list is read again after 4 s. Test: TestARestoredStoreGetsTheRowsOfEntriesAgain; before, no entry wrote its row within the time.

--- a/core/entrylist/list.go
+++ b/core/entrylist/list.go
@@ -20,6 +20,18 @@
 	})
 }
 
+// With returns the list with those of the members added whose names it lacks. The versions of their rows are not known.
+func (l List) With(members []membership.Member) List {
+	merged := List{Version: l.Version, Members: slices.Clone(l.Members)}
+	for _, m := range members {
+		if !slices.ContainsFunc(l.Members, func(listed membership.Member) bool { return listed.Name == m.Name }) {
+			m.ListVersion = 0
+			merged.Members = append(merged.Members, m)
+		}
+	}
+	return merged
+}
+
 // Same reports whether both lists have the same entries, in the same order.
 func (l List) Same(other List) bool {
 	return slices.EqualFunc(l.Members, other.Members, func(x, y membership.Member) bool {
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -24,6 +24,8 @@
 	refreshInterval = 20 * time.Second       // Entries that read the store refresh the list at this interval.
 	maxMissedChecks = 15                     // In a row, five minutes in all; a VM that is restarted is back long before.
 	dialTimeout     = 250 * time.Millisecond // A VM of the same data centre answers within a millisecond.
+	restoreDelay    = 2 * time.Second        // After a restore of the store, the other entries enrol again within this time.
+	enrolCheckTick  = 50 * time.Millisecond
 )
 
 // store holds the list of entries.
@@ -44,9 +46,24 @@
 	HasFollower func(name string) bool // Reports whether the named entry follows this one.
 	OnChange    func(l entrylist.List) // Called when the list has changed.
 
-	mu      sync.Mutex
-	list    entrylist.List
-	absence absence.Counter
+	mu       sync.Mutex
+	list     entrylist.List // The list in force.
+	stored   entrylist.List // The list as the store has it; after a restore entries may be missing that are in force.
+	absence  absence.Counter
+	restored chan struct{} // Signalled when the store was restored.
+}
+
+// Start must be called before all other methods.
+func (r *Roster) Start() {
+	r.restored = make(chan struct{}, 1)
+}
+
+// StoreRestored makes the roster enrol this entry again if the store has lost its row.
+func (r *Roster) StoreRestored() {
+	select {
+	case r.restored <- struct{}{}:
+	default:
+	}
 }
 
 // Run enrols this entry if it is not on the list, and maintains the list until the context ends.
@@ -60,9 +77,37 @@
 		pause.Sleep(ctx, fleetStartDelay)
 		r.refresh(ctx)
 	}
-	for ctx.Err() == nil {
-		pause.Sleep(ctx, refreshInterval)
-		r.maintain(ctx)
+	refresh := time.NewTicker(refreshInterval)
+	defer refresh.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.restored:
+			r.recover(ctx)
+		case <-refresh.C:
+			r.maintain(ctx)
+		}
+	}
+}
+
+// recover enrols this entry again after a restore of the store, if its row is lost, and reads the list once the others have
+// done the same. Until then the entries that were on the list before stay in force.
+func (r *Roster) recover(ctx context.Context) {
+	if r.ReadsStore() {
+		r.refresh(ctx)
+	}
+	pause.Until(ctx, restoreDelay, enrolCheckTick, func() bool { return !r.enrolled() })
+	if !r.enrolled() {
+		r.Log("roster").Warn("The restored store has lost the row of this entry; enrolling again.")
+		r.enrol(ctx)
+		r.mu.Lock()
+		r.stored = r.stored.With([]membership.Member{r.self()})
+		r.mu.Unlock()
+	}
+	pause.Sleep(ctx, restoreDelay)
+	if r.ReadsStore() {
+		r.refresh(ctx)
 	}
 }
 
@@ -108,20 +153,32 @@
 	r.Update(list)
 }
 
-// Update puts a list in force that this entry or its leader has read, unless it is older than the current one.
+// Update puts a list in force that this entry or its leader has read, unless it is older than the current one. The first
+// list after a restore of the store may lack entries that enrolled after the copy was made, so these stay in force.
 func (r *Roster) Update(list entrylist.List) {
 	r.mu.Lock()
-	if list.Version < r.list.Version {
+	if list.Version < r.stored.Version || list.Version == r.stored.Version && list.Same(r.stored) {
 		r.mu.Unlock()
 		return
 	}
-	changed := !list.Same(r.list)
-	r.list = list
+	inForce := list
+	restored := len(r.list.Members) > 0 && list.Version.Era() > r.stored.Version.Era()
+	if restored {
+		inForce = list.With(r.list.Members)
+	}
+	changed := !inForce.Same(r.list) || !list.Same(r.stored)
+	r.list, r.stored = inForce, list
 	r.mu.Unlock()
 	if changed {
-		r.Log("roster").WithField("entries", len(list.Members)).WithField("version", list.Version).Info("The list of entries has changed.")
+		r.Log("roster").WithField("entries", len(inForce.Members)).WithField("stored", len(list.Members)).
+			WithField("version", list.Version).Info("The list of entries has changed.")
+	}
+	if changed || restored {
 		r.OnChange(list)
 	}
+	if restored && !list.Has(r.self()) {
+		r.StoreRestored()
+	}
 }
 
 // removeUnreachable removes entries of this data centre that neither follow this entry nor accept connections for
@@ -149,9 +206,11 @@
 	}
 }
 
-// enrolled reports whether this entry is on the list with its current address, data centre and bandwidth.
+// enrolled reports whether the store has this entry with its current address, data centre and bandwidth.
 func (r *Roster) enrolled() bool {
-	return r.List().Has(r.self())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stored.Has(r.self())
 }
 
 // List returns the list in force.
@@ -161,6 +220,13 @@
 	return entrylist.List{Version: r.list.Version, Members: slices.Clone(r.list.Members)}
 }
 
+// Stored returns the list as the store has it, for a follower.
+func (r *Roster) Stored() entrylist.List {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return entrylist.List{Version: r.stored.Version, Members: slices.Clone(r.stored.Members)}
+}
+
 // Members returns the entries on the list, this one included.
 func (r *Roster) Members() []membership.Member {
 	return r.List().Members
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -79,6 +80,7 @@
 		Store: f, Peer: self.Peer, NewFleet: newFleet, ReadsStore: func() bool { return false },
 		HasFollower: func(string) bool { return false }, OnChange: func(entrylist.List) {},
 	}
+	r.Start()
 	go r.Run(t.Context())
 	for end := time.Now().Add(5 * time.Second); r.Size() == 0 && time.Now().Before(end); {
 		time.Sleep(5 * time.Millisecond)
@@ -238,3 +240,51 @@
 		t.Errorf("got %d entries on the list, %s among them: %t; want 7 without it", len(f.members), unreachable.Name, listed)
 	}
 }
+
+// Guards against an entry that stays off the list after the store was restored from a copy without its row.
+func TestARestoredStoreGetsTheRowsOfEntriesAgain(t *testing.T) {
+	self, other, late := member(1, "a"), member(2, "a"), member(3, "a")
+	all := map[string]membership.Member{self.Name: self, other.Name: other, late.Name: late}
+	scenarios := []struct {
+		name   string
+		copied []membership.Member
+		reads  bool // the entry reads the store itself; otherwise its leader tells it the list
+		writes int
+	}{
+		{"the row of a leader is lost", []membership.Member{other}, true, 1},
+		{"the row of a follower is lost", []membership.Member{other}, false, 1},
+		{"the row of another entry is lost", []membership.Member{self, other}, true, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			f := &fakeStore{members: maps.Clone(all), version: storeversion.New(1, 50)}
+			r := run(t, f, self, false)
+			r.ReadsStore = func() bool { return s.reads }
+			f.mu.Lock()
+			f.version, f.members = storeversion.New(2, 10), map[string]membership.Member{}
+			for _, m := range s.copied {
+				f.members[m.Name] = m
+			}
+			f.mu.Unlock()
+			r.StoreRestored()
+			if !s.reads {
+				r.Update(newList(storeversion.New(2, 11), s.copied...))
+			}
+			time.Sleep(restoreDelay / 2)
+			if got := r.Size(); got != len(all) {
+				t.Errorf("got %d entries in force after the restore, want %d until the others have enrolled again", got, len(all))
+			}
+			f.mu.Lock()
+			got := f.writes
+			f.mu.Unlock()
+			if got != s.writes {
+				t.Errorf("got %d rows written, want %d", got, s.writes)
+			}
+			time.Sleep(2 * restoreDelay)
+			if got, want := r.Size(), 2; s.reads && got != want {
+				t.Errorf("got %d entries after the delay, want the %d that the store has", got, want)
+			}
+		})
+	}
+}
