Store the crashes of quarantined requests again after a restore

What callers saw: not seen; found by looking for the same cause elsewhere. A quarantined request would be sent on by entries that start after the store was restored from a copy without its crashes. Cause: the recorder relied on its rows as acknowledged. Test: TestCrashesAreStoredAgainAfterARestore; the recorder had no way to write them again before.

--- a/entry/crashrecords/recorder.go
+++ b/entry/crashrecords/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"poplarworks/core/crashrecord"
@@ -15,6 +16,7 @@
 	maxWrites     = 10 // attempts to write the crashes of one request
 	queueSize     = 64
 	maxAge        = time.Hour // longer than any quarantine
+	maxKept       = 64        // requests whose crashes are written again after a restore of the store
 )
 
 // store holds the crashes of quarantined requests.
@@ -32,12 +34,23 @@
 	NewFleet bool                                                                       // all entries start for the first time, so that nothing is stored
 	OnCrash  func(fingerprint quarantine.Fingerprint, target string, at time.Time) bool // records a crash that was read
 
-	queue chan []crashrecord.Record
+	queue    chan []crashrecord.Record
+	restored chan struct{}
+	kept     [][]crashrecord.Record // crashes of the requests that were written last; used by Run alone
 }
 
 // Start must be called before all other methods.
 func (r *Recorder) Start() {
 	r.queue = make(chan []crashrecord.Record, queueSize)
+	r.restored = make(chan struct{}, 1)
+}
+
+// StoreRestored makes the recorder write its crashes again, since the restored store may have lost them.
+func (r *Recorder) StoreRestored() {
+	select {
+	case r.restored <- struct{}{}:
+	default:
+	}
 }
 
 // Save writes the crashes of one request in the background. They are left out if too many are waiting to be written.
@@ -60,10 +73,34 @@
 			return
 		case records := <-r.queue:
 			r.write(ctx, records)
+			r.keep(records)
+		case <-r.restored:
+			r.writeAgain(ctx)
 		}
 	}
 }
 
+// keep remembers the crashes of a request, in place of earlier ones of the same request.
+func (r *Recorder) keep(records []crashrecord.Record) {
+	r.kept = slices.DeleteFunc(r.kept, func(kept []crashrecord.Record) bool { return kept[0].Fingerprint == records[0].Fingerprint })
+	r.kept = append(r.kept, records)
+	if len(r.kept) > maxKept {
+		r.kept = r.kept[1:]
+	}
+}
+
+// writeAgain writes the crashes that still matter.
+func (r *Recorder) writeAgain(ctx context.Context) {
+	r.kept = slices.DeleteFunc(r.kept, func(kept []crashrecord.Record) bool { return r.Now().Sub(kept[len(kept)-1].At) > maxAge })
+	if len(r.kept) == 0 {
+		return
+	}
+	r.Log("crashes").WithField("requests", len(r.kept)).Info("The store was restored; storing the crashes of quarantined requests again.")
+	for _, records := range r.kept {
+		r.write(ctx, records)
+	}
+}
+
 // load reads the stored crashes, and retries until that succeeds. It removes those that are too old to matter.
 func (r *Recorder) load(ctx context.Context) {
 	records, err := r.Store.Crashes(ctx)
--- a/entry/crashrecords/recorder_test.go
+++ b/entry/crashrecords/recorder_test.go
@@ -114,3 +114,35 @@
 	}
 	t.Error("got the old crash kept, want it removed")
 }
+
+// Guards against a quarantine that nobody remembers after the store was restored from a copy that lacks its crashes.
+func TestCrashesAreStoredAgainAfterARestore(t *testing.T) {
+	f := &fakeStore{}
+	first, _ := newRecorder(t, f)
+	first.Save([]crashrecord.Record{{Target: "expired", Fingerprint: quarantine.Fingerprint{1}, At: time.Now().Add(-2 * maxAge)}})
+	first.Save([]crashrecord.Record{{Target: "a", Fingerprint: quarantine.Fingerprint{2}, At: time.Now()}})
+	awaitRecords(t, f, 2)
+	f.mu.Lock()
+	f.records = nil
+	f.mu.Unlock()
+	first.StoreRestored()
+	awaitRecords(t, f, 1)
+	_, read := newRecorder(t, f)
+	if got := <-read; got != "a" {
+		t.Errorf("got a crash of %s, want one of a alone", got)
+	}
+}
+
+func awaitRecords(t *testing.T, f *fakeStore, want int) {
+	t.Helper()
+	got := 0
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		got = len(f.records)
+		f.mu.Unlock()
+		if got == want {
+			return
+		}
+	}
+	t.Fatalf("got %d records, want %d", got, want)
+}
