Let an odd registration cost itself alone

What operators of other systems saw: one entry of another writer among those of the targets, and the processes that read the list ended or no longer followed it. Here no process ended, but such entries were taken for targets, and one could stop the list. Cause: port 0, an unspecified or multicast address, and numbers beyond 2^53 were accepted; the latter convert to different values on x86-64 and arm64, and a sequence of 1e300 would outdo all that the target itself writes.

--- a/entry/replication/codec.go
+++ b/entry/replication/codec.go
@@ -93,28 +93,38 @@
 	for _, r := range wire.GetRegistrations() {
 		c := registry.Change{Key: r.GetKey(), Version: storeversion.New(wire.GetEra(), r.GetVersion())}
 		if !r.GetRemoved() {
-			address, err := netip.ParseAddrPort(r.GetAddress())
-			if err != nil {
-				return n, errors.Wrapf(err, "address of registration %s", r.GetKey())
-			}
-			c.Registration = &registry.Registration{
-				Service:         r.GetService(),
-				Address:         address,
-				DataCentre:      r.GetDataCentre(),
-				Slots:           int(r.GetSlots()),
-				Leaving:         r.GetLeaving(),
-				WarmupRemaining: time.Duration(r.GetWarmupMs()) * time.Millisecond,
-				Sequence:        r.GetSequence(),
-			}
-			if ms := r.GetStartedUnixMs(); ms != 0 {
-				c.Registration.Started = time.UnixMilli(ms)
-			}
+			c.Registration = decodeRegistration(r)
 		}
 		n.Registrations = append(n.Registrations, c)
 	}
 	return n, nil
 }
 
+// decodeRegistration returns nil if no target can be meant. Builds that do not check registrations pass such entries on, and
+// they must not end the stream of updates.
+func decodeRegistration(r *newspb.Registration) *registry.Registration {
+	address, err := netip.ParseAddrPort(r.GetAddress())
+	if err != nil {
+		return nil
+	}
+	entry := &registry.Registration{
+		Service:         r.GetService(),
+		Address:         address,
+		DataCentre:      r.GetDataCentre(),
+		Slots:           int(r.GetSlots()),
+		Leaving:         r.GetLeaving(),
+		WarmupRemaining: time.Duration(r.GetWarmupMs()) * time.Millisecond,
+		Sequence:        r.GetSequence(),
+	}
+	if ms := r.GetStartedUnixMs(); ms != 0 {
+		entry.Started = time.UnixMilli(ms)
+	}
+	if entry.Check() != nil {
+		return nil
+	}
+	return entry
+}
+
 func encodeEntries(list entrylist.List) *newspb.Entries {
 	wire := &newspb.Entries{Version: list.Version.Number(), Era: list.Version.Era()}
 	for _, m := range list.Members {
