Take the slots of most targets for those of a service

Cause: the slots of a service were those of any registration, in the order of a map, so that one odd registration could decide on all targets, at random. With 65,536 slots the entry also counted each of them one by one for each target. Change: the most frequent number counts, and the slots of an entry are computed. Tests: TestSlotsAreThoseOfMostTargets (fails on the old code), TestSlotsAreDividedRoundRobin.

--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -312,3 +312,22 @@
 		t.Errorf("got %d retries, want the budget to be used", retried)
 	}
 }
+
+// Guards against an entry that is busy for long when a target claims very many slots.
+func TestSlotsAreDividedRoundRobin(t *testing.T) {
+	for _, entries := range []int{1, 3, 7} {
+		for position := range entries {
+			for slot := range 20 {
+				want := 0
+				for i := range slot {
+					if i%entries == position {
+						want++
+					}
+				}
+				if got := slotsBelow(slot, entries, position); got != want {
+					t.Errorf("%d slots, entry %d of %d: got %d, want %d", slot, position, entries, got, want)
+				}
+			}
+		}
+	}
+}
--- a/core/balancer/slots.go
+++ b/core/balancer/slots.go
@@ -36,17 +36,19 @@
 		if t.removed {
 			continue
 		}
-		for range b.service.Slots {
-			if slot%len(b.active) == position {
-				t.ownSlots++
-			}
-			slot++
-		}
+		next := slot + b.service.Slots
+		t.ownSlots = slotsBelow(next, len(b.active), position) - slotsBelow(slot, len(b.active), position)
+		slot = next
 		t.configure(b.service, len(b.active))
 	}
 	b.rebuildFreeList()
 }
 
+// slotsBelow returns how many of the slots from zero up to the given number fall to the entry at the position.
+func slotsBelow(slot, entries, position int) int {
+	return (slot - position + entries - 1) / entries
+}
+
 // slotOffset returns the first slot number of a service. It differs by service, so that the larger shares do not all
 // go to the same entry.
 func slotOffset(service string) int {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -186,14 +186,21 @@
 	return services
 }
 
-// Slots returns the slots of any registered target of the service, or 1 if there is none.
+// Slots returns the slots of most registered targets of the service, or 1 if there is none.
 func (r *Registry) Slots(service string) int {
+	counts := map[int]int{}
 	for _, reg := range r.registrations {
-		if reg.entry != nil && !reg.removed && reg.entry.Service == service && reg.entry.Slots > 0 {
-			return reg.entry.Slots
+		if reg.entry != nil && !reg.removed && reg.entry.Service == service {
+			counts[reg.entry.Slots]++
 		}
 	}
-	return 1
+	most := 1
+	for slots, count := range counts {
+		if count > counts[most] || count == counts[most] && slots < most {
+			most = slots
+		}
+	}
+	return most
 }
 
 // HasPendingGrace reports whether any removed registration is still within its grace period.
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -183,3 +183,17 @@
 		})
 	}
 }
+
+// Guards against one odd registration that decides on the slots of all targets.
+func TestSlotsAreThoseOfMostTargets(t *testing.T) {
+	for range 20 {
+		r := &Registry{}
+		for i, slots := range []int{3, maxSlots, 3, 1, 3} {
+			key := string(rune('a' + i))
+			r.Apply(begin, []Change{{key, storeversion.Version(i + 1), entry(1, func(e *Registration) { e.Slots = slots })}}, storeversion.Version(i+1))
+		}
+		if got := r.Slots("s"); got != 3 {
+			t.Fatalf("got %d slots, want 3", got)
+		}
+	}
+}
