Pass no request on that the end of the entry would cut off

What operators of other systems saw: in a planned stop, requests that came late in the grace period were passed on and then cut with no answer, among them requests that may not be repeated (LOST). Here: requests that arrive in the second half of the grace period were refused before. But one that had been taken earlier and waited, in the queue or for the rest of its body, was still passed on after that, and a target was told the caller's deadline although the entry ends before it.

--- a/entry/app/entry.go
+++ b/entry/app/entry.go
@@ -141,6 +141,7 @@
 		Crashes:          e.crashes,
 		Ready:            func() bool { return e.health.State() != entrystate.Starting },
 		IsStopping:       e.health.RefusesRequests,
+		AnswerBy:         e.health.AnswerBy,
 		OnTargetDraining: e.mesh.BroadcastLeaving,
 		BufferQuota:      &buffers.Quota{Max: e.Settings.MaxBufferedBytes},
 	}
--- a/entry/exchange/attempt.go
+++ b/entry/exchange/attempt.go
@@ -61,6 +61,10 @@
 			}
 			return res
 		}
+		if c.IsStopping() && (last == nil || last.outcome.NotRun()) {
+			c.service.Finish(d.ID, outcome.Outcome{Kind: outcome.Cancelled})
+			return result{code: code.Draining, retryAfter: drainingRetryAfter}
+		}
 		if !c.service.StillAcceptsWork(c.ctx, d.ID) {
 			c.service.Finish(d.ID, outcome.Outcome{Kind: outcome.Cancelled})
 			d = c.submit()
--- a/entry/exchange/call.go
+++ b/entry/exchange/call.go
@@ -87,8 +87,15 @@
 	return c.rule.Class == rule.Short || c.atMostOnce()
 }
 
+// timeLeft returns the time that a target has for the request. A target that has not finished when this entry is about to end
+// must say so itself, since the entry would cut the request off without an answer.
 func (c *call) timeLeft() time.Duration {
-	return c.request.Deadline.Sub(c.Now())
+	now := c.Now()
+	left := c.request.Deadline.Sub(now)
+	if answerBy := c.AnswerBy(); !answerBy.IsZero() {
+		left = min(left, answerBy.Sub(now))
+	}
+	return left
 }
 
 // serve sends the request to targets and answers the caller.
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -85,6 +85,7 @@
 	Crashes          crashTracker
 	Ready            func() bool                         // whether the records and the peers' reports were received
 	IsStopping       func() bool                         // whether new requests are refused because the entry is stopping
+	AnswerBy         func() time.Time                    // when all requests must have been answered because the entry stops; zero if it does not
 	OnTargetDraining func(service string, target string) // called when a target reports that it is draining
 	BufferQuota      *buffers.Quota
 
--- a/entry/exchange/harness_test.go
+++ b/entry/exchange/harness_test.go
@@ -115,7 +115,7 @@
 	directory.Configure(h.catalog)
 	h.handler = &Handler{
 		Common: c, Records: h, Services: directory, Targets: pool, Protocol: headers.Protocol{Entry: "entry-1"}, Claims: h.claims, Crashes: keeper,
-		Ready: func() bool { return true }, IsStopping: func() bool { return false }, OnTargetDraining: func(string, string) {}, BufferQuota: &buffers.Quota{Max: 16 << 20},
+		Ready: func() bool { return true }, IsStopping: func() bool { return false }, AnswerBy: func() time.Time { return time.Time{} }, OnTargetDraining: func(string, string) {}, BufferQuota: &buffers.Quota{Max: 16 << 20},
 	}
 	server := httptest.NewServer(h.handler)
 	t.Cleanup(server.Close)
--- a/entry/health/keeper.go
+++ b/entry/health/keeper.go
@@ -22,10 +22,12 @@
 type StateTracker struct {
 	*common.Common
 	Records     records
-	PeersSynced func() bool // reports whether the peers' state has been received
+	PeersSynced func() bool   // reports whether the peers' state has been received
+	StopTimeout time.Duration // time from Stop until all requests must have been answered; zero means no limit
 
-	mu      sync.Mutex
-	machine entrystate.Machine
+	mu       sync.Mutex
+	machine  entrystate.Machine
+	answerBy time.Time
 }
 
 // Run updates the state from the records until the context ends.
@@ -77,6 +79,17 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.machine.Stop(k.Now(), true)
+	if k.StopTimeout > 0 && k.answerBy.IsZero() {
+		k.answerBy = k.Now().Add(k.StopTimeout)
+	}
+}
+
+// AnswerBy returns the time by which all requests must have been answered since this process stops, or zero if there is
+// none.
+func (k *StateTracker) AnswerBy() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.answerBy
 }
 
 // State returns the current state.
