Store lost crashes again from entries that have read them

Cause: after a restore only the entry that had stored the crashes of a request wrote them again, and only if it had not been started since. Change: crashes that were read at the start are kept too, and entries write those that the restored store lacks. Test: TestCrashesAreStoredAgainAfterARestore, last part (the second recorder wrote nothing before).

--- a/entry/crashrecords/recorder.go
+++ b/entry/crashrecords/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"poplarworks/core/crashrecord"
@@ -36,7 +37,9 @@
 
 	queue    chan []crashrecord.Record
 	restored chan struct{}
-	kept     [][]crashrecord.Record // crashes of the requests that were written last; used by Run alone
+
+	mu   sync.Mutex
+	kept [][]crashrecord.Record // crashes of the requests that were written or read last
 }
 
 // Start must be called before all other methods.
@@ -82,6 +85,8 @@
 
 // keep remembers the crashes of a request, in place of earlier ones of the same request.
 func (r *Recorder) keep(records []crashrecord.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.kept = slices.DeleteFunc(r.kept, func(kept []crashrecord.Record) bool { return kept[0].Fingerprint == records[0].Fingerprint })
 	r.kept = append(r.kept, records)
 	if len(r.kept) > maxKept {
@@ -89,15 +94,24 @@
 	}
 }
 
-// writeAgain writes the crashes that still matter.
+// writeAgain writes the crashes that still matter and that the store has lost.
 func (r *Recorder) writeAgain(ctx context.Context) {
+	r.mu.Lock()
 	r.kept = slices.DeleteFunc(r.kept, func(kept []crashrecord.Record) bool { return r.Now().Sub(kept[len(kept)-1].At) > maxAge })
-	if len(r.kept) == 0 {
+	kept := slices.Clone(r.kept)
+	r.mu.Unlock()
+	if len(kept) == 0 {
 		return
 	}
-	r.Log("crashes").WithField("requests", len(r.kept)).Info("The store was restored; storing the crashes of quarantined requests again.")
-	for _, records := range r.kept {
-		r.write(ctx, records)
+	stored, err := r.Store.Crashes(ctx)
+	if err != nil {
+		r.Log("crashes").WithError(err).Warn("The stored crashes could not be read after a restore; storing all that are known.")
+	}
+	for _, records := range kept {
+		if slices.ContainsFunc(records, func(record crashrecord.Record) bool { return !contains(stored, record) }) {
+			r.Log("crashes").WithField("fingerprint", records[0].Fingerprint).Info("Storing the crashes of a request again, which the restored store has lost.")
+			r.write(ctx, records)
+		}
 	}
 }
 
@@ -112,12 +126,17 @@
 		records, err = r.Store.Crashes(ctx)
 	}
 	var old []crashrecord.Record
+	byRequest := map[quarantine.Fingerprint][]crashrecord.Record{}
 	for _, record := range records {
 		if r.Now().Sub(record.At) > maxAge {
 			old = append(old, record)
 			continue
 		}
 		r.OnCrash(record.Fingerprint, record.Target, record.At)
+		byRequest[record.Fingerprint] = append(byRequest[record.Fingerprint], record)
+	}
+	for _, known := range byRequest {
+		r.keep(known)
 	}
 	if len(old) == 0 {
 		return
@@ -127,6 +146,13 @@
 	}
 }
 
+// contains reports whether the crash is stored, whose time is less precise there.
+func contains(stored []crashrecord.Record, record crashrecord.Record) bool {
+	return slices.ContainsFunc(stored, func(s crashrecord.Record) bool {
+		return s.Fingerprint == record.Fingerprint && s.Target == record.Target
+	})
+}
+
 func (r *Recorder) write(ctx context.Context, records []crashrecord.Record) {
 	for range maxWrites {
 		err := r.Store.PutCrashes(ctx, records)
--- a/entry/crashrecords/recorder_test.go
+++ b/entry/crashrecords/recorder_test.go
@@ -127,10 +127,19 @@
 	f.mu.Unlock()
 	first.StoreRestored()
 	awaitRecords(t, f, 1)
-	_, read := newRecorder(t, f)
+	second, read := newRecorder(t, f)
 	if got := <-read; got != "a" {
 		t.Errorf("got a crash of %s, want one of a alone", got)
 	}
+	time.Sleep(10 * time.Millisecond) // until the second has kept what it has read
+	first.StoreRestored()
+	time.Sleep(50 * time.Millisecond)
+	awaitRecords(t, f, 1)
+	f.mu.Lock()
+	f.records = nil
+	f.mu.Unlock()
+	second.StoreRestored()
+	awaitRecords(t, f, 1)
 }
 
 func awaitRecords(t *testing.T, f *fakeStore, want int) {
