Soak: restore the store from a copy

The store goes away, comes back from a copy that is up to six seconds old, and the operator writes all that was lost again or just the newest configuration. Heartbeats of the stand-in targets no longer get new versions, as on the users' platform.

--- a/measure/soak/configuration.go
+++ b/measure/soak/configuration.go
@@ -12,13 +12,18 @@
 type configuration struct {
 	number uint64
 	prefix string // path prefix of the route that this configuration added
+	text   []byte
 	at     time.Time
 }
 
-// Configure writes a configuration that has one more route for lookups than the previous one.
+// Configure writes a configuration that has one more route for lookups than the previous one, unless the operator has yet
+// to write again what was lost.
 func (e *Environment) Configure() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.operatorAway {
+		return
+	}
 	number := uint64(2 * (len(e.configurations) + 1)) // versions increase, but not by one
 	next := configuration{number: number, prefix: fmt.Sprintf("/added-%d/", number)}
 	resources := []any{
@@ -34,7 +39,7 @@
 		return // cannot happen: the value consists of plain types
 	}
 	e.Store.Put("op", "config", data)
-	next.at = time.Now()
+	next.at, next.text = time.Now(), data
 	e.configurations = append(e.configurations, next)
 }
 
--- a/measure/soak/environment.go
+++ b/measure/soak/environment.go
@@ -68,7 +68,9 @@
 	configurations []configuration
 	history        []history // of each entry, by its index
 	storeDisturbed time.Time
-	stopped        bool // whether no more targets may be added, which would keep their addresses from the next run
+	backups        []backup // of the last seconds, the oldest first
+	operatorAway   bool     // the operator has not yet written again what a restore of the store lost
+	stopped        bool     // whether no more targets may be added, which would keep their addresses from the next run
 }
 
 // limit is a rate limit that a target has named.
@@ -103,6 +105,7 @@
 	}
 	e.Configure()
 	go e.renewRegistrations(ctx)
+	go e.keepBackups(ctx)
 	for i := range entries {
 		if err := e.addEntry(i, binaries, netip.MustParseAddrPort(listener.Addr().String())); err != nil {
 			return nil, err
--- a/measure/soak/run.go
+++ b/measure/soak/run.go
@@ -59,6 +59,7 @@
 	done.Go(func() { c.sendCrashRequests(callersContext, crashRandom, fmt.Sprintf("crash%d", r.Seed), crash) })
 	pollRandom := rand.New(rand.NewPCG(r.Seed, 3))
 	done.Go(func() { c.pollConfiguration(callersContext, pollRandom, fmt.Sprintf("look%d", r.Seed)) })
+	r.scheduleRestores()
 	for end := time.Now().Add(r.Duration); time.Now().Before(end); {
 		r.injectFault(ctx)
 		time.Sleep(time.Duration(100+r.random.IntN(500)) * time.Millisecond)
--- a/measure/soak/targets.go
+++ b/measure/soak/targets.go
@@ -133,7 +133,7 @@
 		time.Sleep(registrationInterval)
 		for _, service := range []string{"lookups", "fees"} {
 			for _, t := range e.ActiveTargets(service) {
-				e.Store.Put("servers", t.Name, t.Registration())
+				e.Store.Renew("servers", t.Name, t.Registration())
 			}
 		}
 	}
--- a/standin/rowstore/store.go
+++ b/standin/rowstore/store.go
@@ -69,6 +69,28 @@
 	s.rows[[2]string{table, key}] = row{Table: table, Key: key, Value: value, Version: s.version, Deleted: value == nil}
 }
 
+// Renew replaces the value of a row as a heartbeat does, which is no change: the row keeps its version. A row that does not
+// exist is written.
+func (s *Store) Renew(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, ok := s.rows[[2]string{table, key}]
+	if !ok || stored.Deleted {
+		s.put(table, key, value)
+		return
+	}
+	stored.Value = value
+	s.rows[[2]string{table, key}] = stored
+}
+
+// Has reports whether the row exists.
+func (s *Store) Has(table, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, ok := s.rows[[2]string{table, key}]
+	return ok && !stored.Deleted
+}
+
 // DropHistory drops the history of changes up to now, so that a feed from an earlier version fails.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
