--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -84,16 +84,16 @@
 		case <-ctx.Done():
 			return
 		case <-r.restored:
-			r.recover(ctx)
+			r.enrolAfterRestore(ctx)
 		case <-refresh.C:
 			r.maintain(ctx)
 		}
 	}
 }
 
-// recover enrols this entry again after a restore of the store, if its row is lost, and reads the list once the others have
+// enrolAfterRestore enrols this entry again after a restore of the store, if its row is lost, and reads the list once the others have
 // done the same. Until then the entries that were on the list before stay in force.
-func (r *Roster) recover(ctx context.Context) {
+func (r *Roster) enrolAfterRestore(ctx context.Context) {
 	if r.ReadsStore() {
 		r.refresh(ctx)
 	}
