--- a/core/balancer/bench_test.go
+++ b/core/balancer/bench_test.go
@@ -7,6 +7,7 @@
 
 	"poplarworks/core/decision"
 	"poplarworks/core/outcome"
+	"poplarworks/core/ratelimit"
 	"poplarworks/core/report"
 	"poplarworks/core/request"
 )
@@ -33,3 +34,14 @@
 		})
 	}
 }
+
+// Each change of the targets computes the subsets of all entries while a target names a rate limit.
+func BenchmarkRateSharers(b *testing.B) {
+	f := newSubsetFleet(nil, []int{31, 31, 30, 30}, []int{40, 39, 39, 39})
+	entry := f.entries[0]
+	entry.RecordRateLimit(entry.now, "t0-1", ratelimit.Limit{Named: true, PerSecond: 1})
+	for b.Loop() {
+		entry.rateSharers = rateSharers{}
+		entry.updateRateSharers()
+	}
+}
