Soak: copy the store and count its configurations at one moment

A configuration written between the two was counted as part of the copy though the copy lacked it, so that the operator would not have written it again after a restore. Found by reading; no run is known to have met it.

--- a/measure/soak/restore.go
+++ b/measure/soak/restore.go
@@ -19,9 +19,8 @@
 // keepBackups makes copies of the store until the context ends.
 func (e *Environment) keepBackups(ctx context.Context) {
 	for ctx.Err() == nil {
-		b := e.Store.Backup()
-		e.mu.Lock()
-		e.backups = append(e.backups, backup{rows: b, configurations: len(e.configurations)})
+		e.mu.Lock() // held while the rows are copied, so that no configuration is counted that the copy lacks
+		e.backups = append(e.backups, backup{rows: e.Store.Backup(), configurations: len(e.configurations)})
 		if len(e.backups) > maxBackups {
 			e.backups = e.backups[1:]
 		}
@@ -45,8 +44,7 @@
 	b := e.backups[random.IntN(len(e.backups)/2+1)] // the older ones lose more
 	e.operatorAway = true
 	e.Store.Restore(b.rows)
-	e.backups = nil // a later copy may not be from before this restore
-	e.backups = append(e.backups, b)
+	e.backups = []backup{b} // the others are of writes that this restore has undone
 	for name, t := range e.targets {
 		_, leaving := e.leavingSince[name]
 		switch {
