--- a/entry/loadprobe/prober.go
+++ b/entry/loadprobe/prober.go
@@ -129,8 +129,9 @@
 func (p *Prober) recordRateLimit(s *dispatch.Service, target string, l ratelimit.Limit) {
 	changed, sharers, position := false, 0, 0.0
 	s.WithBalancer(func(b *balancer.Balancer, now time.Time) {
-		changed = b.RecordRateLimit(now, target, l)
-		sharers, position = b.RateSharers(target)
+		if changed = b.RecordRateLimit(now, target, l); changed {
+			sharers, position = b.RateSharers(target)
+		}
 	})
 	if !changed {
 		return
