--- a/review/src/healthcase/main.go
+++ b/review/src/healthcase/main.go
@@ -20,7 +20,7 @@
 	minLate    = 2 * time.Millisecond
 	maxLate    = 40 * time.Millisecond
 	calmTime   = 4 * time.Second
-	runTime    = 80 * time.Second
+	runTime    = 92 * time.Second
 	lyingFor   = 6500 * time.Millisecond // srv_lying_health: one of ten servers
 	garbleFor  = 5 * time.Second
 	pauseFor   = time.Second
