Tell refusals by net/http from bodies by the state of the connection

Cause: the connection to the caller took every write that begins with "HTTP/1.1 4" and has no Date field for a refusal that net/http writes by itself, and inserted the code. A write can also be a part of a body. For the same reason refusals with 417, 501 and 505 carried no code.

Change: a refusal by net/http can only be written outside of an exchange, which begins with the call of the handler and ends when net/http reports the connection idle. The connection tracks that, and HTTP/2 by its preface, and never looks at the content of a write to decide.

--- a/entry/caller/limiter.go
+++ b/entry/caller/limiter.go
@@ -1,10 +1,8 @@
 package caller
 
 import (
-	"bytes"
 	"fmt"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,7 +36,7 @@
 			go refuse(socket, l.secure)
 			continue
 		}
-		return &trackedConn{Conn: socket, limiter: l, plain: !l.secure}, nil
+		return &trackedConn{Conn: socket, limiter: l, codesRefusals: !l.secure}, nil
 	}
 }
 
@@ -60,39 +58,3 @@
 		}
 	}
 }
-
-// trackedConn is a connection that counts as open until it is closed.
-type trackedConn struct {
-	net.Conn
-
-	limiter *limiter
-	plain   bool
-	once    sync.Once
-}
-
-// Close closes the connection and subtracts it, once, from the open ones.
-func (c *trackedConn) Close() error {
-	c.once.Do(func() { c.limiter.open.Add(-1) })
-	return c.Conn.Close()
-}
-
-// Write adds the code to a refusal that net/http writes by itself. Such a refusal is recognised by its missing Date
-// field, which every other answer has.
-func (c *trackedConn) Write(data []byte) (int, error) {
-	if !c.plain || !bytes.HasPrefix(data, []byte("HTTP/1.1 4")) || bytes.Contains(data, []byte("\r\nDate: ")) {
-		return c.Conn.Write(data)
-	}
-	refusalCode := code.MalformedRequest
-	if bytes.HasPrefix(data, []byte("HTTP/1.1 431")) {
-		refusalCode = code.HeadersTooLarge
-	}
-	head, rest, found := bytes.Cut(data, []byte("\r\n"))
-	if !found {
-		return c.Conn.Write(data)
-	}
-	coded := fmt.Appendf(nil, "%s\r\n%s: %d\r\n%s: %s\r\n%s", head, relay.CodeHeader, refusalCode, relay.ExecutionHeader, code.NotRun, rest)
-	if _, err := c.Conn.Write(coded); err != nil {
-		return 0, err
-	}
-	return len(data), nil
-}
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -40,7 +40,9 @@
 		listener = tls.NewListener(listener, loader.Server("h2", "http/1.1"))
 	}
 	s.http = &http.Server{
-		Handler:           s.Handler,
+		Handler:           trackExchange(s.Handler),
+		ConnContext:       withConn,
+		ConnState:         trackState,
 		ReadHeaderTimeout: s.Settings.HeaderTimeout,
 		IdleTimeout:       s.Settings.IdleTimeout,
 		MaxHeaderBytes:    maxHeaderReadFactor * s.Settings.MaxHeaderBytes,
