Let callers read refusals that end an unread request

What callers saw: a reset in the place of a refusal for a header (431) or body that is too large.

Cause: net/http closes the write side and waits before it closes a connection with unread bytes, but the wrapper of the connection hid CloseWrite, so the caller saw no end and was still reading at the reset.

Change: the wrapper passes CloseWrite on.

--- a/entry/caller/conn.go
+++ b/entry/caller/conn.go
@@ -39,6 +39,14 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite closes the write side, so that net/http can let the caller read a refusal before it closes the connection.
+func (c *trackedConn) CloseWrite() error {
+	if socket, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return socket.CloseWrite()
+	}
+	return nil
+}
+
 // Read reads from the connection and detects HTTP/2 by its preface, which may arrive in pieces.
 func (c *trackedConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -122,7 +122,8 @@
 	return reply{status: answer.StatusCode, code: answer.Header.Get("Poplar-Code") + " " + answer.Header.Get("Poplar-Run"), body: string(body)}
 }
 
-// Guards against refusals by net/http without a code, wherever on a connection they stand.
+// Guards against refusals by net/http without a code, wherever on a connection they stand, and against their loss to a
+// reset because the connection was closed with unread bytes.
 func TestRefusalsByNetHTTPCarryTheirCode(t *testing.T) {
 	const sound = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	refusals := []struct {
@@ -133,6 +134,7 @@
 	}{
 		{"no request", "hello, is this the entry?\r\n\r\n", 400, "1001 not-run"},
 		{"no host", "GET / HTTP/1.1\r\n\r\n", 400, "1001 not-run"},
+		{"header too large", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("a", 20_000) + "\r\n\r\n", 431, "1003 not-run"},
 		{"two lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400, "1001 not-run"},
 		{"unknown expectation", "GET / HTTP/1.1\r\nHost: h\r\nExpect: tea\r\n\r\n", 417, "1001 not-run"},
 		{"unknown transfer coding", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n", 501, "1001 not-run"},
