Bound what an exchange holds, the kernel's socket buffers included

What callers saw: an entry whose callers read long or endless answers slowly grew beyond its memory; killed for it, it takes all its requests along.

Cause: nobody counted what an exchange holds outside of the heap. The kernel let the buffers of each socket grow up to many MiB; a complete answer left the quota before its caller had read it; a growing buffer was counted by its content.

Change: sockets to callers and targets have fixed buffers of 64 KiB in each direction. A request reserves 160 KiB (320 KiB if its body is streamed) from a new quota, max-transfer-bytes, before it is sent to a target, and is refused with 2001, not run, if that is not free. Answers count until the caller has them, by what is allocated, and are written in pieces.

--- a/entry/app/entry.go
+++ b/entry/app/entry.go
@@ -144,6 +144,7 @@
 		AnswerBy:         e.health.AnswerBy,
 		OnTargetDraining: e.mesh.BroadcastLeaving,
 		BufferQuota:      &buffers.Quota{Max: e.Settings.MaxBufferedBytes},
+		TransferQuota:    &buffers.Quota{Max: e.Settings.MaxTransferBytes},
 	}
 	e.callers = &caller.Server{Common: e.Common, Handler: e.withHealth(e.handler)}
 	e.mesh.InFlight = e.handler.InFlight
@@ -177,6 +178,7 @@
 		Quarantine:        e.crashes.Size,
 		InFlight:          e.handler.InFlight,
 		BufferedBytes:     e.handler.BufferQuota.Reserved,
+		TransferBytes:     e.handler.TransferQuota.Reserved,
 		CallerConnections: e.callers.Connections,
 	}
 	e.mesh.Dump = e.dumper.JSON
--- a/entry/buffers/quota.go
+++ b/entry/buffers/quota.go
@@ -11,7 +11,12 @@
 
 // Reserve reserves bytes if they fit into the quota, and reports whether it did.
 func (q *Quota) Reserve(bytes int64) bool {
-	if q.reserved.Add(bytes) > q.Max {
+	return q.ReserveWithHeadroom(bytes, 0)
+}
+
+// ReserveWithHeadroom reserves bytes if the headroom, in bytes, remains free, and reports whether it did.
+func (q *Quota) ReserveWithHeadroom(bytes, headroom int64) bool {
+	if q.reserved.Add(bytes) > q.Max-headroom {
 		q.reserved.Add(-bytes)
 		return false
 	}
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"poplarworks/entry/common"
+	"poplarworks/entry/sockets"
 	"poplarworks/entry/tlsfiles"
 )
 
@@ -26,7 +27,8 @@
 
 // Start listens and serves in the background. It fails if the address or the TLS files cannot be used.
 func (s *Server) Start(ctx context.Context) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Settings.CallerAddress.String())
+	// Accepted connections inherit the limits of the listener.
+	listener, err := (&net.ListenConfig{Control: sockets.Limit}).Listen(ctx, "tcp", s.Settings.CallerAddress.String())
 	if err != nil {
 		return err
 	}
--- a/entry/dump/alarms.go
+++ b/entry/dump/alarms.go
@@ -7,7 +7,7 @@
 	"poplarworks/core/memberstate"
 )
 
-const bufferAlarmShare = 0.9 // share of the buffer quota above which new bodies will soon be refused
+const bufferAlarmShare = 0.9 // share of a memory quota above which new requests will soon be refused
 
 // alarms lists the conditions that need attention. docs/OPERATING.md explains each.
 func (d *Dumper) alarms() []string {
@@ -25,6 +25,9 @@
 	if float64(d.BufferedBytes()) > bufferAlarmShare*float64(d.Settings.MaxBufferedBytes) {
 		add("buffers-full: held bodies take nearly all of max-buffered-bytes")
 	}
+	if float64(d.TransferBytes()) > bufferAlarmShare*float64(d.Settings.MaxTransferBytes) {
+		add("transfers-full: requests in progress take nearly all of max-transfer-bytes")
+	}
 	for _, m := range d.Members() {
 		if m.Listed && m.State != memberstate.Alive {
 			add("peer-silent: %s is listed and %s", m.Name, m.State)
--- a/entry/dump/dumper.go
+++ b/entry/dump/dumper.go
@@ -27,6 +27,7 @@
 	Quarantine        func() int
 	InFlight          func() int
 	BufferedBytes     func() int64
+	TransferBytes     func() int64
 	CallerConnections func() int
 }
 
@@ -41,6 +42,7 @@
 	InFlight    int            `json:"requests-in-flight"`
 	Callers     int            `json:"caller-connections"`
 	Buffered    int64          `json:"buffered-bytes"`
+	Transfers   int64          `json:"transfer-bytes"`
 	Quarantine  int            `json:"quarantine-entries"`
 	Records     []wireRecord   `json:"records"`
 	Services    []wireService  `json:"services"`
@@ -135,6 +137,7 @@
 		InFlight:    d.InFlight(),
 		Callers:     d.CallerConnections(),
 		Buffered:    d.BufferedBytes(),
+		Transfers:   d.TransferBytes(),
 		Quarantine:  d.Quarantine(),
 		Connections: map[string]int{},
 	}
--- a/entry/exchange/answer.go
+++ b/entry/exchange/answer.go
@@ -10,45 +10,53 @@
 	"poplarworks/core/answer"
 	"poplarworks/core/code"
 	"poplarworks/core/outcome"
+	"poplarworks/entry/buffers"
 	"poplarworks/entry/relay"
 	"poplarworks/entry/target"
 )
 
-const copyBufferSize = 32 << 10 // in bytes
+const (
+	copyBufferSize   = 32 << 10 // in bytes
+	requestBodyShare = 4        // one part in this many of the buffer memory is kept for the bodies of requests
+)
 
 // readCompleteAnswer reads the complete answer into memory. An answer that is larger than the rule's limit, or for
 // which no buffer memory is free, is streamed to the caller instead.
 func (c *call) readCompleteAnswer(ctx context.Context, res *result, exchange *target.Exchange) {
-	maxBytes := c.rule.MaxAnswerBytes
-	reserved := int64(0)
-	defer func() { c.BufferQuota.Release(reserved) }()
-	var body []byte
-	if announced := exchange.Response.ContentLength; announced > 0 && announced <= int64(maxBytes) {
-		body = make([]byte, 0, announced)
+	body := &buffers.Buffer{
+		Quota: c.BufferQuota, Headroom: c.BufferQuota.Max / requestBodyShare, Max: c.rule.MaxAnswerBytes,
+		Announced: exchange.Response.ContentLength,
 	}
 	pooled := c.takeBuffer()
 	defer c.copyBuffers.Put(pooled)
 	chunk := *pooled
 	for {
 		n, err := exchange.Response.Body.Read(chunk)
-		body = append(body, chunk[:n]...)
+		if !body.Append(chunk[:n]) {
+			c.streamOversized(ctx, res, exchange, body, chunk[:n])
+			return
+		}
 		if errors.Is(err, io.EOF) {
-			res.answer = c.storableAnswer(exchange.Response, body)
+			res.answer = c.storableAnswer(exchange.Response, body.Bytes())
+			c.keepUntilAnswered(body)
 			return
 		}
 		if err != nil {
+			body.Release()
 			c.classifyReadError(ctx, res)
 			return
 		}
-		withinLimits := len(body) <= maxBytes && c.BufferQuota.Reserve(int64(n))
-		if !withinLimits {
-			c.streamOversized(ctx, res, exchange, body)
-			return
-		}
-		reserved += int64(n)
 	}
 }
 
+// keepUntilAnswered counts the buffer toward the quota until the caller has received the answer, which a slow caller
+// can delay.
+func (c *call) keepUntilAnswered(body *buffers.Buffer) {
+	c.answerMu.Lock()
+	defer c.answerMu.Unlock()
+	c.answerBodies = append(c.answerBodies, body)
+}
+
 // classifyReadError sets the outcome of an attempt whose answer ended before it was complete.
 func (c *call) classifyReadError(ctx context.Context, res *result) {
 	switch {
@@ -61,9 +69,10 @@
 	}
 }
 
-// streamOversized streams an answer that is too large for the buffer, after the prefix that was read already. Once it
-// has begun, a broken answer can only be resumed from another target, not sent again from its start.
-func (c *call) streamOversized(ctx context.Context, res *result, exchange *target.Exchange, prefix []byte) {
+// streamOversized streams an answer that is too large for the buffer, after what was read already. Once it has begun, a
+// broken answer can only be resumed from another target, not sent again from its start.
+func (c *call) streamOversized(ctx context.Context, res *result, exchange *target.Exchange, read *buffers.Buffer, chunk []byte) {
+	defer read.Release()
 	if res.outcome.Kind == outcome.Shed {
 		return
 	}
@@ -72,7 +81,12 @@
 		res.outcome.Kind = outcome.Cancelled
 		return
 	}
-	if c.write(prefix) != nil {
+	err := c.write(read.Bytes())
+	read.Release()
+	if err == nil {
+		err = c.write(chunk)
+	}
+	if err != nil {
 		res.outcome.Kind, res.code = outcome.Cancelled, code.CallerGone
 		return
 	}
@@ -110,11 +124,18 @@
 	return true
 }
 
+// write sends data to the caller, in pieces that each have the full write timeout.
 func (c *call) write(data []byte) error {
-	_ = c.control.SetWriteDeadline(c.Now().Add(c.Settings.ResponseWriteTimeout))
-	n, err := c.w.Write(data)
-	c.progress.sent += int64(n)
-	return err
+	for len(data) > 0 {
+		_ = c.control.SetWriteDeadline(c.Now().Add(c.Settings.ResponseWriteTimeout))
+		n, err := c.w.Write(data[:min(len(data), copyBufferSize)])
+		c.progress.sent += int64(n)
+		if err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
 }
 
 // copyRest forwards the rest of the answer. It flushes after each chunk if the answer has no Content-Length.
--- a/entry/exchange/attempt.go
+++ b/entry/exchange/attempt.go
@@ -61,9 +61,9 @@
 			}
 			return res
 		}
-		if c.IsStopping() && (last == nil || last.outcome.NotRun()) {
+		if res, refused := c.refusesDispatch(last); refused {
 			c.service.Finish(d.ID, outcome.Outcome{Kind: outcome.Cancelled})
-			return result{code: code.Draining, retryAfter: drainingRetryAfter}
+			return res
 		}
 		if !c.service.StillAcceptsWork(c.ctx, d.ID) {
 			c.service.Finish(d.ID, outcome.Outcome{Kind: outcome.Cancelled})
@@ -93,6 +93,18 @@
 	return result{code: code.Quarantined, retryAfter: until.Sub(c.Now())}, quarantined
 }
 
+// refusesDispatch returns the refusal, and true, if this entry must not send the request: it is stopping, or has no memory
+// for the transfer. That is found before the first attempt, so that nothing has run.
+func (c *call) refusesDispatch(last *result) (result, bool) {
+	if c.IsStopping() && (last == nil || last.outcome.NotRun()) {
+		return result{code: code.Draining, retryAfter: drainingRetryAfter}, true
+	}
+	if c.transferReserved == 0 && !c.reserveTransfer() {
+		return result{code: code.Overloaded, retryAfter: overloadedRetryAfter}, true
+	}
+	return result{}, false
+}
+
 // canRetry reports whether another attempt is possible: the body can be sent again and no answer has begun, or the
 // answer that broke can be resumed.
 func (c *call) canRetry(res result) bool {
--- a/entry/exchange/body.go
+++ b/entry/exchange/body.go
@@ -90,7 +90,7 @@
 	chunk := (*pooled)[:readChunkSize]
 	for len(c.body.prefix) < maxBytes {
 		if !c.BufferQuota.Reserve(readChunkSize) {
-			return &refusal.Refusal{Code: code.Overloaded, Execution: code.NotRun, RetryAfter: time.Second}
+			return &refusal.Refusal{Code: code.Overloaded, Execution: code.NotRun, RetryAfter: overloadedRetryAfter}
 		}
 		c.body.reserved += readChunkSize
 		n, err := readChunkFrom(from, chunk)
--- a/entry/exchange/call.go
+++ b/entry/exchange/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 	"poplarworks/core/quarantine"
 	"poplarworks/core/request"
 	"poplarworks/core/rule"
+	"poplarworks/entry/buffers"
 	"poplarworks/entry/claims"
 	"poplarworks/entry/dispatch"
 	"poplarworks/entry/refusal"
@@ -42,6 +44,10 @@
 	committed  atomic.Bool // whether the header of the answer was sent to the caller
 	progress   progress    // set while an answer is streamed
 	trace      trace
+
+	transferReserved int64 // bytes reserved from the transfer quota
+	answerMu         sync.Mutex
+	answerBodies     []*buffers.Buffer // complete answers, of which the caller gets one
 }
 
 func (c *call) close() {
@@ -51,6 +57,10 @@
 	if c.body != nil {
 		c.body.release()
 	}
+	for _, body := range c.answerBodies {
+		body.Release()
+	}
+	c.TransferQuota.Release(c.transferReserved)
 }
 
 // refuse answers the caller with a refusal. The connection is closed if the body was not read to its end or the entry
--- a/entry/exchange/handler.go
+++ b/entry/exchange/handler.go
@@ -71,6 +71,8 @@
 const (
 	drainingRetryAfter = 50 * time.Millisecond  // delays the refused caller's next attempt, which goes to another entry
 	notReadyRetryAfter = 150 * time.Millisecond // an entry usually has its records this long after its start
+
+	overloadedRetryAfter = time.Second
 )
 
 // Handler serves the requests of callers. Its exported fields must be set before use.
@@ -87,7 +89,8 @@
 	IsStopping       func() bool                         // whether new requests are refused because the entry is stopping
 	AnswerBy         func() time.Time                    // when all requests must have been answered because the entry stops; zero if it does not
 	OnTargetDraining func(service string, target string) // called when a target reports that it is draining
-	BufferQuota      *buffers.Quota
+	BufferQuota      *buffers.Quota                      // for complete bodies of requests and answers
+	TransferQuota    *buffers.Quota                      // for copy buffers and sockets of requests that are sent to targets
 
 	inFlight    atomic.Int64
 	logMu       sync.Mutex
--- a/entry/exchange/harness_test.go
+++ b/entry/exchange/harness_test.go
@@ -33,6 +33,7 @@
 	"poplarworks/entry/dispatch"
 	"poplarworks/entry/headers"
 	"poplarworks/entry/settings"
+	"poplarworks/entry/sockets"
 	"poplarworks/entry/target"
 )
 
@@ -77,6 +78,9 @@
 const testRules = `{"schema": 2, "kind": "rule", "name": "lookup", "service": "s", "match": {"path-prefix": "/status"},
 	"idempotent": true, "deadline": "2s", "not-run-statuses": [503], "retry": {"ratio": 1}, "limits": {"body-bytes": 100000, "answer-bytes": 65536}}
 ---
+{"schema": 2, "kind": "rule", "name": "report", "service": "s", "match": {"path-prefix": "/reports"},
+	"idempotent": true, "deadline": "5s", "limits": {"answer-bytes": 1048576}}
+---
 {"schema": 2, "kind": "rule", "name": "build", "service": "s", "match": {"path-prefix": "/builds"},
 	"idempotent": true, "class": "long", "deadline": "5s", "retry": {"ratio": 1}, "limits": {"body-bytes": 10000000}}
 ---
@@ -116,8 +120,15 @@
 	h.handler = &Handler{
 		Common: c, Records: h, Services: directory, Targets: pool, Protocol: headers.Protocol{Entry: "entry-1"}, Claims: h.claims, Crashes: keeper,
 		Ready: func() bool { return true }, IsStopping: func() bool { return false }, AnswerBy: func() time.Time { return time.Time{} }, OnTargetDraining: func(string, string) {}, BufferQuota: &buffers.Quota{Max: 16 << 20},
+		TransferQuota: &buffers.Quota{Max: 64 << 20},
+	}
+	server := httptest.NewUnstartedServer(h.handler)
+	_ = server.Listener.Close()
+	var err error
+	if server.Listener, err = (&net.ListenConfig{Control: sockets.Limit}).Listen(ctx, "tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
 	}
-	server := httptest.NewServer(h.handler)
+	server.Start()
 	t.Cleanup(server.Close)
 	h.url = server.URL
 	return h
--- a/entry/exchange/hedge.go
+++ b/entry/exchange/hedge.go
@@ -26,6 +26,9 @@
 	if _, quarantined := c.quarantined(); quarantined {
 		return <-results
 	}
+	if !c.reserveTransfer() {
+		return <-results
+	}
 	c.probeTargets()
 	second, ok := c.service.Hedge(c.request)
 	if !ok {
--- a/entry/settings/parse.go
+++ b/entry/settings/parse.go
@@ -11,6 +11,8 @@
 const (
 	maxDuration = 24 * time.Hour
 	maxBytes    = 1 << 40
+
+	defaultMaxTransferBytes = 64 << 20
 )
 
 // Parse parses a settings file. The error names the file, line and field of every problem.
@@ -33,6 +35,7 @@
 		Picker:           obj.OneOf("picker", "power-of-d", "round-robin", "random", "least-of-two", "oracle"),
 		Choices:          obj.Int("choices", 3, 1, 64),
 		OracleURL:        readURL(obj, "oracle-url"),
+		MaxTransferBytes: defaultMaxTransferBytes,
 	}
 	ReadCallers(&s, obj)
 	readOperators(&s, obj)
@@ -49,7 +52,7 @@
 	return s
 }
 
-// ReadCallers reads the settings for callers.
+// ReadCallers reads the settings for callers. The default of MaxTransferBytes must be set before.
 func ReadCallers(s *Settings, obj *jsonc.Object) {
 	callers := obj.Object("callers")
 	s.CallerAddress = ReadAddress(callers, "address")
@@ -59,6 +62,7 @@
 	s.MaxConnections = callers.Int("max-connections", 10_000, 1, 10_000_000)
 	s.MaxHeaderBytes = callers.Int("max-header-bytes", 32<<10, 1<<10, 1<<20)
 	s.MaxBufferedBytes = int64(callers.Int("max-buffered-bytes", 64<<20, 1<<20, maxBytes))
+	s.MaxTransferBytes = int64(callers.Int("max-transfer-bytes", int(s.MaxTransferBytes), 1<<20, maxBytes))
 	s.HeaderTimeout = callers.Duration("header-timeout", 10*time.Second, time.Millisecond, maxDuration)
 	s.BodyTimeout = callers.Duration("body-timeout", 30*time.Second, time.Millisecond, maxDuration)
 	s.IdleTimeout = callers.Duration("idle-timeout", 2*time.Minute, time.Second, maxDuration)
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -21,7 +21,8 @@
 	TrustedBalancers     []netip.Prefix
 	MaxConnections       int
 	MaxHeaderBytes       int
-	MaxBufferedBytes     int64
+	MaxBufferedBytes     int64 // complete bodies of requests and answers
+	MaxTransferBytes     int64 // copy buffers and sockets of requests that are sent to targets
 	HeaderTimeout        time.Duration
 	BodyTimeout          time.Duration
 	IdleTimeout          time.Duration
--- a/entry/target/pool.go
+++ b/entry/target/pool.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"poplarworks/entry/common"
+	"poplarworks/entry/sockets"
 )
 
 const (
@@ -142,7 +143,7 @@
 
 func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
 	p.Counter("target.dials").Inc(1)
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: sockets.Limit}
 	socket, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, err
