Let one attempt alone write the answer of a request

Cause: whether an answer had begun was a flag that parallel attempts read at different times. A hedge sent after the begin was taken for a resumption and wrote its range while the first attempt went on.

Change: an attempt claims the answer before its first byte. The goroutine of the request decides alone: no hedge once the answer is claimed, a resumption only while no attempt is in flight, and never hedged. A complete answer of a hedge needs the claim too, or the streaming attempt is waited for.

--- a/entry/exchange/answer.go
+++ b/entry/exchange/answer.go
@@ -76,9 +76,7 @@
 	if res.outcome.Kind == outcome.Shed {
 		return
 	}
-	if !c.sendHeader(exchange.Response) {
-		// The other one of two hedged attempts has already sent its header.
-		res.outcome.Kind = outcome.Cancelled
+	if !c.beginAnswer(res, exchange.Response) {
 		return
 	}
 	err := c.write(read.Bytes())
@@ -95,18 +93,31 @@
 
 // stream forwards the answer to the caller while it arrives.
 func (c *call) stream(ctx context.Context, res *result, exchange *target.Exchange) {
-	if !c.sendHeader(exchange.Response) {
-		res.outcome.Kind = outcome.Cancelled
+	if !c.beginAnswer(res, exchange.Response) {
 		return
 	}
 	c.copyRest(ctx, res, exchange)
 }
 
-// sendHeader sends the header of the answer. It reports false if another attempt has already done so.
-func (c *call) sendHeader(from *http.Response) bool {
-	if !c.committed.CompareAndSwap(false, true) {
+// claimAnswer makes one of several attempts the one that answers the caller. No other may write to it from then on.
+func (c *call) claimAnswer() bool {
+	return c.answerClaimed.CompareAndSwap(false, true)
+}
+
+// beginAnswer claims the answer and sends its header. It reports false, and the attempt counts as cancelled, if another one
+// has the claim.
+func (c *call) beginAnswer(res *result, from *http.Response) bool {
+	if !c.claimAnswer() {
+		res.outcome.Kind = outcome.Cancelled
 		return false
 	}
+	res.streamed = true
+	c.sendHeader(from)
+	return true
+}
+
+func (c *call) sendHeader(from *http.Response) {
+	c.headerSent = true
 	header := c.w.Header()
 	for name, values := range relay.Copy(from.Header) {
 		header[name] = values
@@ -121,7 +132,6 @@
 	if from.ContentLength < 0 {
 		_ = c.control.Flush()
 	}
-	return true
 }
 
 // write sends data to the caller, in pieces that each have the full write timeout.
@@ -182,7 +192,7 @@
 
 // sendAnswer sends a complete answer to the caller.
 func (c *call) sendAnswer(stored *answer.Answer) {
-	c.committed.Store(true)
+	c.headerSent = true
 	header := c.w.Header()
 	for _, f := range stored.Fields {
 		header.Add(f.Name, f.Value)
--- a/entry/exchange/attempt.go
+++ b/entry/exchange/attempt.go
@@ -12,6 +12,7 @@
 	"poplarworks/core/code"
 	"poplarworks/core/decision"
 	"poplarworks/core/outcome"
+	"poplarworks/entry/relay"
 	"poplarworks/entry/target"
 )
 
@@ -26,6 +27,7 @@
 	code       code.Code
 	retryAfter time.Duration
 	noAnswer   bool // the connection broke before any byte of the answer arrived
+	streamed   bool // the answer was sent to the caller while it arrived
 	sent       bool // the target may have received the request
 	sentAt     time.Time
 }
@@ -108,7 +110,7 @@
 // canRetry reports whether another attempt is possible: the body can be sent again and no answer has begun, or the
 // answer that broke can be resumed.
 func (c *call) canRetry(res result) bool {
-	if c.committed.Load() {
+	if c.answerBegun() {
 		return res.outcome.Kind == outcome.Broken && c.progress.resumable()
 	}
 	return c.body.repeatable()
@@ -137,16 +139,23 @@
 	c.request.Tried = append(c.request.Tried, d.Name)
 }
 
-// attemptOrHedge makes one attempt, and a second one in parallel if the first is slow and the rule allows hedging.
+// attemptOrHedge makes one attempt, and a second one in parallel if the first is slow and the rule allows hedging. No
+// other attempt is in flight then, so that an answer that has begun can be resumed.
 func (c *call) attemptOrHedge(d decision.Decision) result {
+	if c.answerBegun() {
+		return c.resume(d)
+	}
 	if after, ok := c.service.HedgeAfter(d.ID); ok && c.buffersAnswer() && c.body.rest == nil {
 		return c.attemptWithHedge(d, after)
 	}
-	return c.attempt(c.ctx, d, c.targetRequest(d))
+	return c.attempt(c.ctx, d, c.targetRequest(d), c.receiveAnswer)
 }
 
-// attempt sends the request to one target. It reads the complete answer or streams it to the caller.
-func (c *call) attempt(ctx context.Context, d decision.Decision, outgoing *http.Request) result {
+// receiver reads an answer of a target, and sets the outcome of its attempt.
+type receiver func(ctx context.Context, res *result, exchange *target.Exchange, metadata relay.ResponseMetadata)
+
+// attempt sends the request to one target and passes its answer to the receiver.
+func (c *call) attempt(ctx context.Context, d decision.Decision, outgoing *http.Request, receive receiver) result {
 	if c.ticket != nil && !c.ticket.Machine.Send() {
 		c.service.Finish(d.ID, outcome.Outcome{Kind: outcome.Cancelled})
 		return result{code: code.ClaimUnknown}
@@ -170,12 +179,14 @@
 		c.finishAttempt(d, &res)
 		return res
 	}
-	if c.committed.Load() {
-		c.resume(ctx, &res, exchange)
-		res.outcome.Latency = c.Now().Sub(startedAt)
-		c.finishAttempt(d, &res)
-		return res
-	}
+	receive(ctx, &res, exchange, metadata)
+	res.outcome.Latency = c.Now().Sub(startedAt)
+	c.finishAttempt(d, &res)
+	return res
+}
+
+// receiveAnswer reads the complete answer or streams it to the caller.
+func (c *call) receiveAnswer(ctx context.Context, res *result, exchange *target.Exchange, metadata relay.ResponseMetadata) {
 	status := exchange.Response.StatusCode
 	switch {
 	case metadata.NotRun:
@@ -190,24 +201,18 @@
 		res.outcome.Kind = outcome.Answered
 	}
 	if c.buffersAnswer() || res.outcome.Kind != outcome.Answered {
-		c.readCompleteAnswer(ctx, &res, exchange)
+		c.readCompleteAnswer(ctx, res, exchange)
 		if res.outcome.Kind == outcome.Shed {
 			res.answer = nil
 		}
-	} else {
-		c.stream(ctx, &res, exchange)
+		return
 	}
-	res.outcome.Latency = c.Now().Sub(startedAt)
-	c.finishAttempt(d, &res)
-	return res
+	c.stream(ctx, res, exchange)
 }
 
 func (c *call) targetRequest(d decision.Decision) *http.Request {
 	reader, length := c.body.open(c.r.ContentLength)
 	fields := c.targetHeader(d)
-	if c.committed.Load() {
-		c.progress.setRangeFields(fields)
-	}
 	url := *c.r.URL
 	url.Scheme, url.Host = "http", d.Address.String()
 	return &http.Request{
--- a/entry/exchange/call.go
+++ b/entry/exchange/call.go
@@ -41,10 +41,14 @@
 	ticket      *claims.Ticket // set once the claim of the idempotency key is granted
 
 	mayHaveRun atomic.Bool // whether an attempt ended without proof that the target did not run it
-	committed  atomic.Bool // whether the header of the answer was sent to the caller
-	progress   progress    // set while an answer is streamed
 	trace      trace
 
+	answerClaimed atomic.Bool // whether an attempt has been chosen to answer the caller
+
+	// Used by the attempt that answers the caller, and by the goroutine of the request while no attempt is in flight.
+	headerSent bool
+	progress   progress // of a streamed answer
+
 	transferReserved int64 // bytes reserved from the transfer quota
 	answerMu         sync.Mutex
 	answerBodies     []*buffers.Buffer // complete answers, of which the caller gets one
@@ -68,7 +72,7 @@
 func (c *call) refuse(r refusal.Refusal) {
 	c.trace.refusal = r.Code
 	c.Counter("caller.refused." + r.Code.Description().Name).Inc(1)
-	c.Check.Assert(!c.committed.Load(), "a refusal after the answer began")
+	c.Check.Assert(!c.headerSent, "a refusal after the answer began")
 	c.Protocol.Sign(c.w.Header(), c.id)
 	if r.Code == code.BodyTooLarge || r.Code == code.BodyTimeout || r.Code == code.Draining {
 		c.w.Header().Set("Connection", "close")
@@ -117,10 +121,15 @@
 	c.respond(c.attempts())
 }
 
+// answerBegun reports whether the header of the answer was sent. No attempt may be in flight.
+func (c *call) answerBegun() bool {
+	return c.headerSent
+}
+
 // respond answers the caller with the result of the last attempt.
 func (c *call) respond(res result) {
 	switch {
-	case c.committed.Load():
+	case c.answerBegun():
 		if res.outcome.Kind != outcome.Answered && res.outcome.Kind != outcome.Failed {
 			// Without a broken connection, the caller could take the truncated answer for a complete one.
 			panic(http.ErrAbortHandler)
--- a/entry/exchange/progress.go
+++ b/entry/exchange/progress.go
@@ -7,7 +7,9 @@
 	"strings"
 
 	"poplarworks/core/code"
+	"poplarworks/core/decision"
 	"poplarworks/core/outcome"
+	"poplarworks/entry/relay"
 	"poplarworks/entry/target"
 )
 
@@ -49,8 +51,16 @@
 		from.Header.Get("ETag") == p.etag
 }
 
-// resume sends the rest of an answer that broke off, from another target's answer to a range request.
-func (c *call) resume(ctx context.Context, res *result, exchange *target.Exchange) {
+// resume requests the rest of an answer that broke off from another target.
+func (c *call) resume(d decision.Decision) result {
+	outgoing := c.targetRequest(d)
+	c.progress.setRangeFields(outgoing.Header)
+	return c.attempt(c.ctx, d, outgoing, c.receiveRest)
+}
+
+// receiveRest sends the rest of an answer that broke off, from another target's answer to a range request.
+func (c *call) receiveRest(ctx context.Context, res *result, exchange *target.Exchange, _ relay.ResponseMetadata) {
+	res.streamed = true
 	if !c.progress.matchesRest(exchange.Response) {
 		res.outcome.Kind, res.code = outcome.Broken, code.TargetBroke
 		c.progress.etag = ""
