Choose the rule by the path that is sent on

Cause: rules were matched against the decoded path, in which %2F is a slash, while the target got the path as it came.

Change: rules, quarantine and keys use one normalised path (RFC 3986, 6.2.2): escapes of unreserved characters are decoded, all others are kept. Prefixes of rules are normalised too. A trailing dot of the host is ignored.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -9,6 +9,7 @@
 
 	"poplarworks/core/limits"
 	"poplarworks/core/record"
+	"poplarworks/core/requestpath"
 	"poplarworks/core/rule"
 	"poplarworks/core/service"
 	"poplarworks/core/stop"
@@ -38,12 +39,14 @@
 	return true
 }
 
-// sortRules rebuilds the list of rules, most specific first.
+// sortRules rebuilds the list of rules, most specific first. Their prefixes are normalised like the paths of requests.
 func (c *Catalog) sortRules() {
 	c.rules = c.rules[:0:0]
 	for _, rec := range c.records {
 		if rec.Rule != nil && !rec.Deleted {
-			c.rules = append(c.rules, *rec.Rule)
+			r := *rec.Rule
+			r.PathPrefix = requestpath.Normalise(r.PathPrefix)
+			c.rules = append(c.rules, r)
 		}
 	}
 	slices.SortFunc(c.rules, func(a, b rule.Rule) int {
--- a/entry/exchange/call.go
+++ b/entry/exchange/call.go
@@ -35,6 +35,7 @@
 	request     request.Request
 	origin      relay.Origin
 	id          string
+	path        string // normalised
 	fingerprint quarantine.Fingerprint
 	key         string
 	body        *body
--- a/entry/exchange/prepare.go
+++ b/entry/exchange/prepare.go
@@ -12,6 +12,7 @@
 	"poplarworks/core/code"
 	"poplarworks/core/quarantine"
 	"poplarworks/core/request"
+	"poplarworks/core/requestpath"
 	"poplarworks/core/rule"
 	"poplarworks/entry/refusal"
 	"poplarworks/entry/relay"
@@ -32,11 +33,10 @@
 	if refused := c.checkHeader(); refused != nil {
 		return refused
 	}
-	host, _, err := net.SplitHostPort(c.r.Host)
-	if err != nil {
-		host = c.r.Host
+	if requestpath.HasDotSegment(c.path) {
+		return refused(code.MalformedRequest)
 	}
-	found, ok := c.Records.Catalog().Match(host, c.r.Method, c.r.URL.Path)
+	found, ok := c.Records.Catalog().Match(hostName(c.r.Host), c.r.Method, c.path)
 	if !ok {
 		return refused(code.NoRule)
 	}
@@ -60,12 +60,29 @@
 	return nil
 }
 
+// hostName returns the host without port and without the dot that marks a fully qualified name.
+func hostName(authority string) string {
+	host, _, err := net.SplitHostPort(authority)
+	if err != nil {
+		host = authority
+	}
+	return strings.TrimSuffix(host, ".")
+}
+
+// uri returns path and query in the form in which requests are compared.
+func (c *call) uri() string {
+	if c.r.URL.RawQuery == "" && !c.r.URL.ForceQuery {
+		return c.path
+	}
+	return c.path + "?" + c.r.URL.RawQuery
+}
+
 func refused(errorCode code.Code) *refusal.Refusal {
 	r := refusal.NotRun(errorCode)
 	return &r
 }
 
-// identify sets the origin and the id of the request. A missing or invalid id is replaced by a random one.
+// identify sets the origin, the path and the id of the request. A missing or invalid id is replaced by a random one.
 func (c *call) identify() {
 	remote, err := netip.ParseAddrPort(c.r.RemoteAddr)
 	if err != nil {
@@ -75,6 +92,7 @@
 	for _, prefix := range c.Settings.TrustedBalancers {
 		c.origin.Trusted = c.origin.Trusted || prefix.Contains(c.origin.Remote)
 	}
+	c.path = requestpath.Normalise(c.r.URL.EscapedPath())
 	c.id = c.r.Header.Get(relay.RequestIDHeader)
 	if c.id == "" || len(c.id) > maxRequestIDLength || !printable(c.id) {
 		c.id = rand.Text()
@@ -168,7 +186,7 @@
 	write(c.identity())
 	write(c.r.Method)
 	write(c.rule.Host)
-	write(c.r.URL.RequestURI())
+	write(c.uri())
 	if c.body.rest == nil {
 		_, _ = hash.Write(c.body.prefix)
 	}
@@ -178,7 +196,7 @@
 // contentHash returns a hash of method, URI and body, to tell a repetition from another request under the same key.
 func (c *call) contentHash() []byte {
 	hash := sha256.New()
-	_, _ = hash.Write([]byte(c.r.Method + "\x00" + c.r.URL.RequestURI() + "\x00"))
+	_, _ = hash.Write([]byte(c.r.Method + "\x00" + c.uri() + "\x00"))
 	_, _ = hash.Write(c.body.prefix)
 	return hash.Sum(nil)
 }
