Read a streamed body in one place only

After an answer that ended early, the next request on the connection got no answer.

Cause: without full duplex, net/http drops a part of the request's body before it writes the head of the answer. Full duplex was on for bodies with a length, but not for the rest of one in chunks.

Change: full duplex is on wherever a rest is streamed. An answer that begins before the end of the body announces that the connection will be closed. At the end of the request a read in progress fails, and no other begins.

--- a/entry/exchange/answer.go
+++ b/entry/exchange/answer.go
@@ -119,6 +119,7 @@
 func (c *call) sendHeader(from *http.Response) {
 	c.headerSent = true
 	header := c.w.Header()
+	c.announceClose(header)
 	for name, values := range relay.Copy(from.Header) {
 		header[name] = values
 	}
@@ -194,6 +195,7 @@
 func (c *call) sendAnswer(stored *answer.Answer) {
 	c.headerSent = true
 	header := c.w.Header()
+	c.announceClose(header)
 	for _, f := range stored.Fields {
 		header.Add(f.Name, f.Value)
 	}
--- a/entry/exchange/body.go
+++ b/entry/exchange/body.go
@@ -24,14 +24,17 @@
 // once.
 type body struct {
 	prefix     []byte
-	rest       io.Reader // nil if the prefix is the complete body
-	restOpened bool      // whether an attempt has been given the rest
+	rest       *streamedBody // nil if the prefix is the complete body
+	restOpened bool          // whether an attempt has been given the rest
 	quota      *buffers.Quota
 	reserved   int64
 	trailer    http.Header
 }
 
 func (b *body) release() {
+	if b.rest != nil {
+		b.rest.close()
+	}
 	b.quota.Release(b.reserved)
 	b.reserved = 0
 }
@@ -66,9 +69,7 @@
 	}
 	limited := http.MaxBytesReader(c.w, c.r.Body, c.rule.MaxBodyBytes)
 	if !c.buffersBody() {
-		// The target may start its answer before the body is complete.
-		_ = c.control.EnableFullDuplex()
-		c.body.rest = &deadlineReader{call: c, from: limited}
+		c.streamBody(limited)
 		return nil
 	}
 	_ = c.control.SetReadDeadline(c.Now().Add(c.Settings.BodyTimeout))
@@ -102,10 +103,17 @@
 			return bodyRefusal(err)
 		}
 	}
-	c.body.rest = &deadlineReader{call: c, from: from}
+	c.streamBody(from)
 	return nil
 }
 
+// streamBody leaves what has not been read of the body to be streamed. The target may start its answer before the body is
+// complete; without full duplex, net/http would then drop a part of the rest.
+func (c *call) streamBody(from io.Reader) {
+	_ = c.control.EnableFullDuplex()
+	c.body.rest = &streamedBody{call: c, from: from}
+}
+
 // readChunkFrom fills the chunk unless the body ends. It doesn't use io.ReadFull, whose error for a truncated body
 // can't be told from that for a complete body shorter than the chunk.
 func readChunkFrom(from io.Reader, chunk []byte) (int, error) {
@@ -131,19 +139,3 @@
 		return refused(code.MalformedRequest)
 	}
 }
-
-// deadlineReader reads a streamed body and resets the read deadline to the body timeout before each read.
-type deadlineReader struct {
-	call *call
-	from io.Reader
-}
-
-// Read reads the next chunk of the body.
-func (d *deadlineReader) Read(into []byte) (int, error) {
-	_ = d.call.control.SetReadDeadline(d.call.Now().Add(d.call.Settings.BodyTimeout))
-	n, err := d.from.Read(into)
-	if err != nil {
-		_ = d.call.control.SetReadDeadline(time.Time{})
-	}
-	return n, err
-}
--- a/entry/exchange/call.go
+++ b/entry/exchange/call.go
@@ -75,6 +75,7 @@
 	c.Counter("caller.refused." + r.Code.Description().Name).Inc(1)
 	c.Check.Assert(!c.headerSent, "a refusal after the answer began")
 	c.Protocol.Sign(c.w.Header(), c.id)
+	c.announceClose(c.w.Header())
 	if r.Code == code.BodyTooLarge || r.Code == code.BodyTimeout || r.Code == code.Draining {
 		c.w.Header().Set("Connection", "close")
 	}
--- a/entry/exchange/fingerprint_test.go
+++ b/entry/exchange/fingerprint_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"poplarworks/core/quarantine"
@@ -77,8 +76,8 @@
 
 // Guards against a crashing request that is taken for a new one because its body is framed in another way.
 func TestLongBodyKeepsItsFingerprint(t *testing.T) {
-	streamed := fingerprint(func(c *call) { c.body = &body{rest: strings.NewReader("rest")} })
-	chunked := fingerprint(func(c *call) { c.body = &body{prefix: []byte("prefix"), rest: strings.NewReader("rest")} })
+	streamed := fingerprint(func(c *call) { c.body = &body{rest: &streamedBody{}} })
+	chunked := fingerprint(func(c *call) { c.body = &body{prefix: []byte("prefix"), rest: &streamedBody{}} })
 	if streamed != chunked {
 		t.Error("got different fingerprints with a length and in chunks, want the same")
 	}
--- a/entry/exchange/harness_test.go
+++ b/entry/exchange/harness_test.go
@@ -78,6 +78,9 @@
 const testRules = `{"schema": 2, "kind": "rule", "name": "lookup", "service": "s", "match": {"path-prefix": "/status"},
 	"idempotent": true, "deadline": "2s", "not-run-statuses": [503], "retry": {"ratio": 1}, "limits": {"body-bytes": 100000, "answer-bytes": 65536}}
 ---
+{"schema": 2, "kind": "rule", "name": "convert", "service": "s", "match": {"methods": ["POST"], "path-prefix": "/convert"},
+	"deadline": "5s", "idempotency-key": {"required": false}, "limits": {"body-bytes": 8388608, "answer-bytes": 65536}}
+---
 {"schema": 2, "kind": "rule", "name": "vault", "service": "s", "match": {"host": "vault.example", "path-prefix": "/vault"},
 	"idempotent": true, "deadline": "2s"}
 ---
--- a/entry/exchange/transfer_test.go
+++ b/entry/exchange/transfer_test.go
@@ -101,7 +101,7 @@
 			t.Errorf("got %t and %d bytes reserved, want those of a request and its hedge", got, c.transferReserved)
 		}
 	}
-	c.body.rest = strings.NewReader("")
+	c.body.rest = &streamedBody{}
 	if c.reserveTransfer() {
 		t.Error("got a reservation for both directions, want none beyond the quota")
 	}
