Keep the escapes of a path that holds other characters

What callers saw: POST /tickets/a%2Fb| reached the target as /tickets/a/b%7C, and the rule was chosen by that path.

Cause: net/url gives up the path as it was sent if it holds a character that may not stand in one, and escapes the decoded path anew, without %2F.

Change: only those characters are escaped, before the path is read; all escapes of the sender stay.

TestURIsAreReadInOneWay without the change: "got /status/s/a/b%7C at the target"; it passes now.

--- a/core/requestpath/normalise.go
+++ b/core/requestpath/normalise.go
@@ -5,6 +5,7 @@
 const (
 	unreservedMarks = "-._~"
 	allowedMarks    = unreservedMarks + "!$&'()*+,;=:@/"
+	toleratedMarks  = "[]" // not allowed by RFC 3986, but sent on by net/url as they are
 	upperHex        = "0123456789ABCDEF"
 )
 
@@ -35,6 +36,24 @@
 	return normal.String()
 }
 
+// Escape escapes the characters that may not stand in a path, and keeps all else as it is, so that the escapes of the sender
+// reach the target unchanged.
+func Escape(path string) string {
+	if isNormal(path) {
+		return path
+	}
+	var escaped strings.Builder
+	for i := range len(path) {
+		_, isEscape := decode(path[i:])
+		if isEscape || isAllowed(path[i]) || strings.IndexByte(toleratedMarks, path[i]) >= 0 {
+			escaped.WriteByte(path[i])
+			continue
+		}
+		writeEscape(&escaped, path[i])
+	}
+	return escaped.String()
+}
+
 // HasDotSegment reports whether a segment of a normalised path is `.` or `..`, which a target may resolve to another path
 // than the one by which the rule was chosen.
 func HasDotSegment(normal string) bool {
--- a/core/requestpath/normalise_test.go
+++ b/core/requestpath/normalise_test.go
@@ -27,6 +27,21 @@
 	}
 }
 
+func TestEscape(t *testing.T) {
+	scenarios := []struct{ path, want string }{
+		{"/a/b", "/a/b"},
+		{"/%74/a%2fb|", "/%74/a%2fb%7C"},
+		{"/a[1]", "/a[1]"},
+		{"/100%|", "/100%25%7C"},
+		{`/"<é>`, "/%22%3C%C3%A9%3E"},
+	}
+	for _, s := range scenarios {
+		if got := Escape(s.path); got != s.want {
+			t.Errorf("%s: got %s, want %s", s.path, got, s.want)
+		}
+	}
+}
+
 // Guards against paths that change when they are normalised again, and so against two readings of one path.
 func FuzzNormalise(f *testing.F) {
 	for _, path := range []string{"/tickets/status%2Ff1", "/%25%32%46", "/ü|%", "/.%2e/"} {
@@ -37,6 +52,9 @@
 		if again := Normalise(once); again != once {
 			t.Errorf("%q: got %q, then %q", path, once, again)
 		}
+		if got := Normalise(Escape(path)); got != once {
+			t.Errorf("%q: got %q after it was escaped, want %q", path, got, once)
+		}
 	})
 }
 
--- a/entry/exchange/prepare.go
+++ b/entry/exchange/prepare.go
@@ -92,6 +92,10 @@
 	for _, prefix := range c.Settings.TrustedBalancers {
 		c.origin.Trusted = c.origin.Trusted || prefix.Contains(c.origin.Remote)
 	}
+	if raw := c.r.URL.RawPath; raw != "" {
+		// net/url would rather drop the escapes of a path with a character that may not stand in it.
+		c.r.URL.RawPath = requestpath.Escape(raw)
+	}
 	c.path = requestpath.Normalise(c.r.URL.EscapedPath())
 	c.id = c.r.Header.Get(relay.RequestIDHeader)
 	if c.id == "" || len(c.id) > maxRequestIDLength || !printable(c.id) {
--- a/entry/exchange/uri_test.go
+++ b/entry/exchange/uri_test.go
@@ -32,6 +32,8 @@
 		{"an empty first segment", "//status/1", "h", "404 1002", ""},
 		{"parameters", "/status/1;v=2", "h", "200", "/status/1;v=2"},
 		{"a character that may not stand in a path", "/status/a|b", "h", "200", "/status/a%7Cb"},
+		{"an escape beside such a character", "/status/%73/a%2Fb|", "h", "200", "/status/%73/a%2Fb%7C"},
+		{"an escaped slash beside such a character", "/status%2F|", "h", "404 1002", ""},
 		{"absolute form", "http://h/status/1", "h", "200", "/status/1"},
 		{"absolute form with user information", "http://u:p@h/status/1", "h", "200", "/status/1"},
 		{"an asterisk", "*", "h", "400 1001", ""},
