Compare generated exchanges through entries with direct ones

Change: bin/measure conformance draws sequences of exchanges (sizes on both sides of each buffer's bound, framings, content that looks like HTTP, early and broken answers, informational ones, pauses, hedges, escaped paths), plays each one directly against a target and through an entry, compares what client and target see with a written list of allowed differences, and shrinks what differs (pgregory.net/rapid). A short run is a test; planted differences show that the checks can fail.

It uses the project's own interface, not the platform's.

--- a/measure/app/app.go
+++ b/measure/app/app.go
@@ -7,6 +7,7 @@
 
 	"poplarworks/measure/added"
 	"poplarworks/measure/chaos"
+	"poplarworks/measure/conformance"
 	"poplarworks/measure/crest"
 	"poplarworks/measure/doccheck"
 	"poplarworks/measure/durable"
@@ -26,6 +27,7 @@
 		Commands: []*cli.Command{
 			added.Command(),
 			chaos.Command(),
+			conformance.Command(),
 			crest.Command(),
 			doccheck.Command(),
 			durable.Command(),
