Count complete answers without allocations of their own

Change: the memory of complete answers is a sum of the request in the place of a list of buffers, and an attempt is told what it is to get in the place of a function.

--- a/entry/buffers/buffer.go
+++ b/entry/buffers/buffer.go
@@ -47,6 +47,14 @@
 	return b.data
 }
 
+// Detach empties the buffer and returns its content, and the bytes that stay reserved for it until the caller releases
+// them from the quota.
+func (b *Buffer) Detach() (data []byte, reserved int64) {
+	data, reserved = b.data, int64(cap(b.data))
+	b.data = nil
+	return data, reserved
+}
+
 // Release empties the buffer and releases its memory from the quota.
 func (b *Buffer) Release() {
 	b.Quota.Release(int64(cap(b.data)))
--- a/entry/exchange/answer.go
+++ b/entry/exchange/answer.go
@@ -23,7 +23,7 @@
 // readCompleteAnswer reads the complete answer into memory. An answer that is larger than the rule's limit, or for
 // which no buffer memory is free, is streamed to the caller instead.
 func (c *call) readCompleteAnswer(ctx context.Context, res *result, exchange *target.Exchange) {
-	body := &buffers.Buffer{
+	body := buffers.Buffer{
 		Quota: c.BufferQuota, Headroom: c.BufferQuota.Max / requestBodyShare, Max: c.rule.MaxAnswerBytes,
 		Announced: exchange.Response.ContentLength,
 	}
@@ -33,12 +33,13 @@
 	for {
 		n, err := exchange.Response.Body.Read(chunk)
 		if !body.Append(chunk[:n]) {
-			c.streamOversized(ctx, res, exchange, body, chunk[:n])
+			c.streamOversized(ctx, res, exchange, &body, chunk[:n])
 			return
 		}
 		if errors.Is(err, io.EOF) {
-			res.answer = c.storableAnswer(exchange.Response, body.Bytes())
-			c.keepUntilAnswered(body)
+			data, reserved := body.Detach()
+			c.answersReserved.Add(reserved) // a slow caller can delay the end of the answer
+			res.answer = c.storableAnswer(exchange.Response, data)
 			return
 		}
 		if err != nil {
@@ -49,14 +50,6 @@
 	}
 }
 
-// keepUntilAnswered counts the buffer toward the quota until the caller has received the answer, which a slow caller
-// can delay.
-func (c *call) keepUntilAnswered(body *buffers.Buffer) {
-	c.answerMu.Lock()
-	defer c.answerMu.Unlock()
-	c.answerBodies = append(c.answerBodies, body)
-}
-
 // classifyReadError sets the outcome of an attempt whose answer ended before it was complete.
 func (c *call) classifyReadError(ctx context.Context, res *result) {
 	switch {
--- a/entry/exchange/attempt.go
+++ b/entry/exchange/attempt.go
@@ -148,14 +148,19 @@
 	if after, ok := c.service.HedgeAfter(d.ID); ok && c.buffersAnswer() && c.body.rest == nil {
 		return c.attemptWithHedge(d, after)
 	}
-	return c.attempt(c.ctx, d, c.targetRequest(d), c.receiveAnswer)
+	return c.attempt(c.ctx, d, c.targetRequest(d), wholeAnswer)
 }
 
-// receiver reads an answer of a target, and sets the outcome of its attempt.
-type receiver func(ctx context.Context, res *result, exchange *target.Exchange, metadata relay.ResponseMetadata)
+// phase is what an attempt is to get from its target.
+type phase int
 
-// attempt sends the request to one target and passes its answer to the receiver.
-func (c *call) attempt(ctx context.Context, d decision.Decision, outgoing *http.Request, receive receiver) result {
+const (
+	wholeAnswer  phase = iota
+	restOfAnswer       // of an answer that has begun
+)
+
+// attempt sends the request to one target and receives its answer.
+func (c *call) attempt(ctx context.Context, d decision.Decision, outgoing *http.Request, p phase) result {
 	if c.ticket != nil && !c.ticket.Machine.Send() {
 		c.service.Finish(d.ID, outcome.Outcome{Kind: outcome.Cancelled})
 		return result{code: code.ClaimUnknown}
@@ -179,7 +184,11 @@
 		c.finishAttempt(d, &res)
 		return res
 	}
-	receive(ctx, &res, exchange, metadata)
+	if p == restOfAnswer {
+		c.receiveRest(ctx, &res, exchange)
+	} else {
+		c.receiveAnswer(ctx, &res, exchange, metadata)
+	}
 	res.outcome.Latency = c.Now().Sub(startedAt)
 	c.finishAttempt(d, &res)
 	return res
--- a/entry/exchange/call.go
+++ b/entry/exchange/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,7 +12,6 @@
 	"poplarworks/core/quarantine"
 	"poplarworks/core/request"
 	"poplarworks/core/rule"
-	"poplarworks/entry/buffers"
 	"poplarworks/entry/claims"
 	"poplarworks/entry/dispatch"
 	"poplarworks/entry/refusal"
@@ -50,9 +48,8 @@
 	headerSent bool
 	progress   progress // of a streamed answer
 
-	transferReserved int64 // bytes reserved from the transfer quota
-	answerMu         sync.Mutex
-	answerBodies     []*buffers.Buffer // complete answers, of which the caller gets one
+	transferReserved int64        // bytes reserved from the transfer quota
+	answersReserved  atomic.Int64 // bytes reserved from the buffer quota for complete answers, of which the caller gets one
 }
 
 func (c *call) close() {
@@ -62,9 +59,7 @@
 	if c.body != nil {
 		c.body.release()
 	}
-	for _, body := range c.answerBodies {
-		body.Release()
-	}
+	c.BufferQuota.Release(c.answersReserved.Load())
 	c.TransferQuota.Release(c.transferReserved)
 }
 
--- a/entry/exchange/hedge.go
+++ b/entry/exchange/hedge.go
@@ -16,7 +16,7 @@
 	defer cancel()
 	results := make(chan result, 2)
 	firstRequest := c.targetRequest(first)
-	go func() { results <- c.attempt(ctx, first, firstRequest, c.receiveAnswer) }()
+	go func() { results <- c.attempt(ctx, first, firstRequest, wholeAnswer) }()
 	timer := time.NewTimer(after)
 	defer timer.Stop()
 	select {
@@ -52,7 +52,7 @@
 	c.Counter("caller.hedges").Inc(1)
 	c.recordAttempt(second)
 	secondRequest := c.targetRequest(second)
-	go func() { results <- c.attempt(ctx, second, secondRequest, c.receiveAnswer) }()
+	go func() { results <- c.attempt(ctx, second, secondRequest, wholeAnswer) }()
 	return true
 }
 
--- a/entry/exchange/progress.go
+++ b/entry/exchange/progress.go
@@ -9,7 +9,6 @@
 	"poplarworks/core/code"
 	"poplarworks/core/decision"
 	"poplarworks/core/outcome"
-	"poplarworks/entry/relay"
 	"poplarworks/entry/target"
 )
 
@@ -55,11 +54,11 @@
 func (c *call) resume(d decision.Decision) result {
 	outgoing := c.targetRequest(d)
 	c.progress.setRangeFields(outgoing.Header)
-	return c.attempt(c.ctx, d, outgoing, c.receiveRest)
+	return c.attempt(c.ctx, d, outgoing, restOfAnswer)
 }
 
 // receiveRest sends the rest of an answer that broke off, from another target's answer to a range request.
-func (c *call) receiveRest(ctx context.Context, res *result, exchange *target.Exchange, _ relay.ResponseMetadata) {
+func (c *call) receiveRest(ctx context.Context, res *result, exchange *target.Exchange) {
 	res.streamed = true
 	if !c.progress.matchesRest(exchange.Response) {
 		res.outcome.Kind, res.code = outcome.Broken, code.TargetBroke
