Take no reset for the end of an answer

Cause: a socket hands out the error of a reset once. The write of the upload that was in progress received it, and the read of an answer that ends with its connection saw a plain end.

Change: such an answer is complete only if its request was written completely.

Evidence: TestResponseIsCutOffIfItsRequestIsNotWritten without the change: "got hello (<nil>), want unexpected EOF", 3 of 3 runs; with it none of 3.

--- a/entry/target/exchange.go
+++ b/entry/target/exchange.go
@@ -18,6 +18,7 @@
 	address    netip.AddrPort
 	conn       *conn
 	writeDone  <-chan error
+	wroteAll   bool
 	complete   bool
 	stopCancel func() bool
 }
@@ -46,6 +47,10 @@
 	return exchange, true, nil
 }
 
+// writeResultDelay is the time after the end of a response within which a request that was written completely is known to
+// be so.
+const writeResultDelay = 100 * time.Millisecond
+
 // trackedBody records that the body was read to its end.
 type trackedBody struct {
 	io.ReadCloser
@@ -56,11 +61,33 @@
 func (b *trackedBody) Read(buffer []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buffer)
 	if errors.Is(err, io.EOF) {
+		if b.exchange.endsWithConnection() && !b.exchange.writtenSoon() {
+			return n, io.ErrUnexpectedEOF
+		}
 		b.exchange.complete = true
 	}
 	return n, err
 }
 
+// endsWithConnection reports whether only the end of the connection marks the end of the body. A reset looks like that end
+// if a write that was in progress has already received its error.
+func (e *Exchange) endsWithConnection() bool {
+	return e.Response.ContentLength < 0 && len(e.Response.TransferEncoding) == 0
+}
+
+// writtenSoon reports whether the request is written completely, and waits a little for the result.
+func (e *Exchange) writtenSoon() bool {
+	if e.written() {
+		return true
+	}
+	select {
+	case err := <-e.writeDone:
+		e.wroteAll = err == nil
+	case <-time.After(writeResultDelay):
+	}
+	return e.wroteAll
+}
+
 // Close returns the connection to the pool if the request was completely written and the response completely read.
 // Otherwise it closes the connection, so that neither a late response nor the rest of a body can reach another request.
 func (e *Exchange) Close() {
@@ -71,10 +98,10 @@
 func (e *Exchange) written() bool {
 	select {
 	case err := <-e.writeDone:
-		return err == nil
+		e.wroteAll = err == nil
 	default:
-		return false
 	}
+	return e.wroteAll
 }
 
 // MarkUnnamedRefusal records that the response refuses the request without naming it. The target could write it once more,
--- a/entry/target/pool_test.go
+++ b/entry/target/pool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"net/url"
 	"strings"
@@ -92,3 +93,62 @@
 		t.Errorf("got an error after %s, want it as soon as the late response is too long", took)
 	}
 }
+
+// Guards against a response that ends with its connection, was cut off by a reset, and looks complete, because the write of
+// the request that was in progress has received the error in the place of the read.
+func TestResponseIsCutOffIfItsRequestIsNotWritten(t *testing.T) {
+	scenarios := []struct {
+		name  string
+		size  int // bytes of the request
+		reset bool
+		want  error
+	}{
+		{"a short request, an end", 100, false, nil},
+		{"a request that was read, an end", 1 << 20, false, nil},
+		{"a request that was not read, a reset", 64 << 20, true, io.ErrUnexpectedEOF},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if !s.reset {
+					_, _ = io.Copy(io.Discard, r.Body)
+				}
+				socket, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello")
+				time.Sleep(50 * time.Millisecond)
+				if s.reset {
+					_ = socket.(*net.TCPConn).SetLinger(0)
+				}
+				_ = socket.Close()
+			}))
+			defer server.Close()
+			address := netip.MustParseAddrPort(server.Listener.Addr().String())
+			pool := newPool(nil)
+			request := &http.Request{
+				Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address.String(), Path: "/"}, Host: "h",
+				Body: io.NopCloser(io.LimitReader(zeros{}, int64(s.size))), ContentLength: int64(s.size),
+			}
+			exchange, _, err := pool.Begin(t.Context(), address, request, true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer exchange.Close()
+			time.Sleep(200 * time.Millisecond) // the write fails first
+			body, err := io.ReadAll(exchange.Response.Body)
+			if string(body) != "hello" || (err == nil) != (s.want == nil) {
+				t.Errorf("got %q (%v), want %v", body, err, s.want)
+			}
+		})
+	}
+}
+
+// zeros is a reader without end.
+type zeros struct{}
+
+func (zeros) Read(into []byte) (int, error) {
+	clear(into)
+	return len(into), nil
+}
