--- a/entry/exchange/attempt.go
+++ b/entry/exchange/attempt.go
@@ -151,16 +151,16 @@
 	return c.attempt(c.ctx, d, c.targetRequest(d), wholeAnswer)
 }
 
-// phase is what an attempt is to get from its target.
-type phase int
+// answerPart is the part of an answer that an attempt requests from its target.
+type answerPart int
 
 const (
-	wholeAnswer  phase = iota
-	restOfAnswer       // of an answer that has begun
+	wholeAnswer  answerPart = iota
+	restOfAnswer            // of an answer that has begun
 )
 
 // attempt sends the request to one target and receives its answer.
-func (c *call) attempt(ctx context.Context, d decision.Decision, outgoing *http.Request, p phase) result {
+func (c *call) attempt(ctx context.Context, d decision.Decision, outgoing *http.Request, part answerPart) result {
 	if c.ticket != nil && !c.ticket.Machine.Send() {
 		c.service.Finish(d.ID, outcome.Outcome{Kind: outcome.Cancelled})
 		return result{code: code.ClaimUnknown}
@@ -184,7 +184,7 @@
 		c.finishAttempt(d, &res)
 		return res
 	}
-	if p == restOfAnswer {
+	if part == restOfAnswer {
 		c.receiveRest(ctx, &res, exchange)
 	} else {
 		c.receiveAnswer(ctx, &res, exchange, metadata)
