--- a/review/src-2/main.go
+++ b/review/src-2/main.go
@@ -24,6 +24,7 @@
 	"restored-config": restoredConfiguration,
 	"server-leaving":  serverLeaving,
 	"crash-expiry":    crashExpiry,
+	"slow-reader":     slowReader,
 	"crash-upload":    crashUpload,
 	"crash-abandoned": crashAbandoned,
 }
--- a/review/src-2/server.go
+++ b/review/src-2/server.go
@@ -37,6 +37,7 @@
 	tellsLoad   bool
 	crashes     func(r *http.Request, body []byte) bool // whether the request crashes the server
 	crashAfter  time.Duration                           // from the begin of its run until the crash
+	answerBytes int                                     // length of its answers; zero for short ones
 
 	mu       sync.Mutex
 	running  int
@@ -220,9 +221,15 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := answerTo(id)
+	if s.answerBytes > 0 {
+		answer = strings.Repeat("d", s.answerBytes)
+	}
 	h.Set("X-Response-Signature", "signed."+id)
 	h.Set("Content-Length", strconv.Itoa(len(answer)))
 	_, _ = io.WriteString(w, answer)
+	if s.answerBytes > 0 {
+		s.w.logf("server %s has answered %s in full", s.id, id)
+	}
 }
 
 func answerTo(id string) string { return strings.Repeat("answer to "+id+"\n", 4) }
--- a/review/src-2/world.go
+++ b/review/src-2/world.go
@@ -364,10 +364,14 @@
 func configuration(version int, services []string, routes ...route) []byte {
 	var resources []any
 	for _, r := range routes {
-		resources = append(resources, map[string]any{"resourceKind": "routes", "metadata": map[string]any{"name": r.name}, "spec": map[string]any{
-			"hostname": "desk.example", "prefix": r.prefix, "kind": r.kind, "timeoutMs": r.timeoutMs, "targetLatencyMs": 400, "priority": 1,
+		spec := map[string]any{
+			"hostname": "desk.example", "prefix": r.prefix, "kind": r.kind, "targetLatencyMs": 400, "priority": 1,
 			"service": r.service, "maxAttempts": r.maxAttempts,
-		}})
+		}
+		if r.timeoutMs > 0 {
+			spec["timeoutMs"] = r.timeoutMs
+		}
+		resources = append(resources, map[string]any{"resourceKind": "routes", "metadata": map[string]any{"name": r.name}, "spec": spec})
 	}
 	for _, s := range services {
 		resources = append(resources, map[string]any{"resourceKind": "services", "metadata": map[string]any{"name": s}, "spec": map[string]any{
