--- a/review/src-2/server.go
+++ b/review/src-2/server.go
@@ -160,6 +160,7 @@
 	})
 }
 
+// ServeHTTP answers health checks, and runs, queues or turns away requests.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	h := w.Header()
